--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,1066 @@
+// Package policy decides for a gateway that keeps customers' quotas on a
+// shared API. Its interface (settings, events, actions) is in api.go; every
+// decision, table and tuned value is in this file.
+//
+// The mechanism is a distributed waiting room. Requests beyond a customer's
+// cap on attempts out wait in arrival order; gateways report to each other
+// once a tick, sum the attempts out from these reports, and release the free
+// room at ticks and at their own outcomes. A rate companion keeps an estimate
+// of each customer's store of units and lets a gateway pass its part of it.
+package policy
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Tuned values. None is fitted to a deployment: they are shares, counts of
+// ticks, or times that people and networks set.
+const (
+	mailShare   = 0.75                   // part of a gateway's mail intake that reports may fill
+	minTick     = 25 * time.Millisecond  // tick bounds
+	maxTick     = 250 * time.Millisecond //
+	staleTicks  = 6                      // a report older than this gives way to the demand split
+	forgetAfter = 4 * time.Second        // how fast a silent peer's demand is forgotten
+	demandSpan  = 2 * time.Second        // memory of the demand rates
+	blindExtra  = 25 * time.Millisecond  // time a report travels
+	repeatTicks = 3                      // a change is told in this many reports
+	maxMessage  = 256                    // bytes
+
+	queueWeight = 0.5  // what each attempt out adds to a server's latency, in service times
+	fitAim      = 0.75 // a server is full when its predicted latency passes this part of the aim
+	learn       = 0.1  // weight of a new latency or error in a server's averages
+	errorLimit  = 0.35 // error average that ejects a server
+	ejectShare  = 0.34 // at most this share of the fleet is ejected
+	minEject    = time.Second
+	maxEject    = 8 * time.Second
+	retryEarn   = 0.15 // retry budget earned by each first attempt
+	retryCap    = 12.0 // most of it kept
+	coldSafety  = 0.5  // part of the cold budget used
+	giftRoom    = 0.5  // a ceiling part above this share of its size may be given
+)
+
+type customer struct {
+	hash   uint32
+	plan   *Plan
+	set    []*peerView // its other gateways
+	n      float64     // its gateways, this one included
+	held   []*request  // waiting, in arrival order
+	out    int
+	area   float64 // integral of out over the tick, for its mean
+	areaAt time.Duration
+	mean   float64
+
+	at      time.Duration // time of the stores below
+	store   float64       // estimate of the quota's store
+	known   bool          // the estimate rests on more than a fresh start
+	ceiling float64       // own hard part of the ceiling
+	passed  uint16        // running totals of units, told to peers
+	asked   uint16
+	rate    float64 // own asked units, decayed over demandSpan
+	fresh   int     // ticks for which a change is still told
+	told    uint32  // tick of the last report
+}
+
+// peerView is what one other gateway last said of one customer.
+type peerView struct {
+	p       *peer
+	at      time.Duration
+	heard   bool
+	inc     uint32
+	out     float64
+	held    float64
+	passed  uint16
+	asked   uint16
+	rate    float64 // asked units, decayed
+	ceiling float64 // filling of its ceiling part, 0 to 1; below 0 unknown
+}
+
+type peer struct {
+	num   int
+	inc   uint32
+	seq   uint32
+	at    time.Duration
+	heard bool
+	outs  map[uint16]float64 // attempts out by server
+}
+
+type request struct {
+	id       RequestID
+	c        *customer
+	cl       *class
+	units    float64
+	arrived  time.Duration
+	deadline time.Duration
+	attempts int
+	srv      *server // of the attempt out; nil when none is
+	sentAt   time.Duration
+	load     float64 // the server's when sent to
+	counted  bool    // has taken its units
+	ran      bool    // an attempt may have run
+	ranZone  string  // where and since when, for keyed classes
+	ranCell  int
+	ranAt    time.Duration
+	over     bool
+	stream   bool
+	quit     bool // its attempt was cancelled
+}
+
+type class struct {
+	Class
+	mean float64 // seconds an idle server of the fleet takes
+}
+
+type server struct {
+	Server
+	hash   uint16
+	out    int
+	slow   float64 // latency against the fleet's, at equal load
+	errs   float64 // average of errors
+	okAt   time.Duration
+	oldest []*request // attempts out, oldest first
+	load   float64    // last reported load
+	loadAt time.Duration
+	fullAt time.Duration
+	bad    bool          // ejected
+	until  time.Duration // until then nothing is tried
+	wait   time.Duration // length of the next ejection
+	trials int
+	sends  []time.Duration // while cold: recent sends
+}
+
+// Gateway decides for one gateway. It is not safe for concurrent use.
+type Gateway struct {
+	set       Settings
+	rng       *rand.Rand
+	inc       uint32
+	seq       uint32
+	tick      time.Duration
+	ticks     uint32
+	begun     bool
+	start     time.Duration
+	now       time.Duration
+	lastTick  time.Duration
+	classes   map[string]*class
+	plans     map[string]*Plan
+	customers map[string]*customer
+	byHash    map[uint32]*customer
+	ring      []*customer
+	waiting   []*customer
+	reqs      map[RequestID]*request
+	servers   map[ServerID]*server
+	fleet     []*server
+	peers     []*peer
+	budget    float64
+	sendRate  float64 // own sends to warm servers, decayed over FallTime
+	acts      []Action
+	asked     bool
+	loadCols  []int
+}
+
+// New returns a gateway that has seen nothing yet. The seed feeds its random
+// choices; equal settings, seeds and events give equal actions.
+func New(s Settings, seed uint64) (*Gateway, error) {
+	bad := func(ok bool, key string, args ...any) error {
+		if ok {
+			return nil
+		}
+		return fmt.Errorf("policy: setting %s", fmt.Sprintf(key, args...))
+	}
+	errs := []error{
+		bad(s.Resolution > 0, "Resolution: not above 0"),
+		bad(s.Gateways >= 1, "Gateways: below 1"),
+		bad(s.Me >= 0 && s.Me < max(s.Gateways, 1), "Me: outside 0 to Gateways-1"),
+		bad(len(s.Plans) > 0, "Plans: none"),
+		bad(len(s.Classes) > 0, "Classes: none"),
+		bad(s.MailPerSecond >= 0, "MailPerSecond: negative"),
+	}
+	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
+		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{},
+		budget: retryCap}
+	for i, p := range s.Plans {
+		errs = append(errs, bad(p.Name != "", "Plans[%d].Name: empty", i),
+			bad(p.Rate >= 0 && p.Burst >= 0, "Plans[%d].Rate or Burst: negative", i),
+			bad(p.Open >= 0, "Plans[%d].Open: negative", i),
+			bad(p.HardRate >= 0 && p.HardBurst >= 0, "Plans[%d].HardRate or HardBurst: negative", i))
+		g.plans[p.Name] = &p
+	}
+	for i, c := range s.Classes {
+		errs = append(errs, bad(c.Name != "", "Classes[%d].Name: empty", i),
+			bad(c.Aim > 0, "Classes[%d].Aim: not above 0", i),
+			bad(c.Deadline > 0, "Classes[%d].Deadline: not above 0", i))
+		g.classes[c.Name] = &class{Class: c, mean: c.Aim.Seconds() / 8}
+	}
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	g.inc = g.rng.Uint32()
+	mail := max(s.MailPerSecond*mailShare, 1)
+	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
+	g.tick = max(min(max(g.tick, minTick), maxTick), s.Resolution)
+	for i := range s.Gateways {
+		g.peers = append(g.peers, &peer{num: i})
+	}
+	for i, name := range s.ReportNames {
+		if name == LoadActive || name == LoadWaiting {
+			g.loadCols = append(g.loadCols, i)
+		}
+	}
+	return g, nil
+}
+
+// Handle takes one event at a time and appends what is to be done to out.
+func (g *Gateway) Handle(now time.Duration, ev Event, out []Action) []Action {
+	g.now, g.acts = now, out
+	if !g.begun {
+		g.begun, g.start, g.lastTick = true, now, now
+		g.do(SetTimer{Token: "tick", After: time.Duration(g.rng.Int64N(int64(g.tick))) + 1})
+		if g.set.MustAsk {
+			g.asked = true
+			g.do(Watch{})
+		}
+	}
+	switch ev := ev.(type) {
+	case Request:
+		g.onRequest(ev)
+	case Outcome:
+		g.onOutcome(ev)
+	case Started:
+		if r := g.reqs[ev.ID]; r != nil && r.attempts == ev.Attempt+1 && r.srv != nil {
+			r.stream = true
+			r.srv.okAt = now
+		}
+	case Gone:
+		if r := g.reqs[ev.ID]; r != nil {
+			g.close(r)
+		}
+	case Timer:
+		if ev.Token == "tick" && now > g.lastTick {
+			g.onTick()
+		}
+	case PeerMessage:
+		g.onPeer(ev)
+	case Members:
+		g.onMembers(ev)
+	}
+	out, g.acts = g.acts, nil
+	return out
+}
+
+func (g *Gateway) do(a Action) { g.acts = append(g.acts, a) }
+
+// Customers, their stores and their room.
+
+func (g *Gateway) customer(r *Request) *customer {
+	if c := g.customers[r.Customer]; c != nil {
+		return c
+	}
+	plan := g.plans[r.Plan]
+	if plan == nil {
+		plan = &Plan{Name: r.Plan}
+	}
+	h := fnv.New32a()
+	h.Write([]byte(r.Customer))
+	c := &customer{hash: h.Sum32(), plan: plan, n: 1, at: g.now, areaAt: g.now, store: plan.Burst}
+	for i := range min(r.Spread, g.set.Gateways) {
+		if num := (r.First + i) % g.set.Gateways; num != g.set.Me && num >= 0 {
+			c.set = append(c.set, &peerView{p: g.peers[num], ceiling: -1})
+			c.n++
+		}
+	}
+	// The ceiling's own part starts empty at the gateway's start: after a
+	// restart it must not be granted a second time.
+	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
+	g.customers[r.Customer] = c
+	g.byHash[c.hash] = c
+	g.ring = append(g.ring, c)
+	return c
+}
+
+// advance brings a customer's stores up to now. A peer long silent is taken
+// to use its demand-split part of the rate: it may only be cut off.
+func (g *Gateway) advance(c *customer) {
+	dt := (g.now - c.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	c.at = g.now
+	silent := 0.0
+	for _, v := range c.set {
+		if g.stale(v) {
+			silent += g.weight(v)
+		}
+	}
+	share := 1 - silent/(g.demand(c))
+	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
+	c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+c.plan.HardRate/c.n*dt)
+	k := math.Exp(-dt / demandSpan.Seconds())
+	c.rate *= k
+	for _, v := range c.set {
+		v.rate *= k
+	}
+	if !c.known && c.plan.Rate > 0 && (g.now-g.start).Seconds() > c.plan.Burst/c.plan.Rate {
+		c.known = true
+	}
+}
+
+func (g *Gateway) stale(v *peerView) bool {
+	return !v.p.heard || g.now-v.p.at > staleTicks*g.tick
+}
+
+// even is the demand taken for granted at each gateway, so that a fresh
+// customer's split is even.
+func (g *Gateway) even(c *customer) float64 { return 0.02*c.plan.Rate + 0.05 }
+
+// weight is a peer's demand in the demand split. A silent peer keeps its last
+// one for a while, then lets go: it may be cut off, or dead for good.
+func (g *Gateway) weight(v *peerView) float64 {
+	w := v.rate
+	if c := v; g.stale(v) && v.p.heard {
+		w = c.rate
+	}
+	return w / demandSpan.Seconds()
+}
+
+// demand is all gateways' demand in units a second, this one's included.
+func (g *Gateway) demand(c *customer) float64 {
+	sum := c.rate/demandSpan.Seconds() + g.even(c)
+	for _, v := range c.set {
+		sum += g.weight(v) + g.even(c)
+	}
+	return sum
+}
+
+func (g *Gateway) share(c *customer) float64 {
+	return (c.rate/demandSpan.Seconds() + g.even(c)) / g.demand(c)
+}
+
+// allowance is what this gateway may pass of the customer's store now: its
+// demand-split part, or what is left once the peers have passed all they may
+// be asked for before they are heard again, whichever is more.
+func (g *Gateway) allowance(c *customer) float64 {
+	blind := (g.tick + blindExtra).Seconds()
+	unseen := 0.0
+	for _, v := range c.set {
+		unseen += g.weight(v) * blind
+	}
+	return max(c.store*g.share(c), c.store-unseen)
+}
+
+// others sums the attempts out and held that the peers report. A silent
+// peer's count gives way to its demand-split part of the cap.
+func (g *Gateway) others(c *customer) (out, held float64) {
+	for _, v := range c.set {
+		if g.stale(v) {
+			out += float64(c.plan.Open) * g.weight(v) / g.demand(c)
+			continue
+		}
+		out += v.out
+		held += v.held
+	}
+	return out, held
+}
+
+// room tells whether one more attempt of the customer fits under its cap.
+// An arrival stays under its demand-split part, at least one.
+func (g *Gateway) room(c *customer, arrival bool) bool {
+	if c.plan.Open == 0 {
+		return true
+	}
+	out, _ := g.others(c)
+	free := float64(c.plan.Open) - out
+	next := float64(c.out + 1)
+	if arrival {
+		return next <= max(free*g.share(c), min(1, free+0.5))
+	}
+	return next <= free+0.25
+}
+
+func (c *customer) count(now time.Duration, d int) {
+	c.area += float64(c.out) * (now - c.areaAt).Seconds()
+	c.areaAt = now
+	c.out += d
+}
+
+// Requests.
+
+func (g *Gateway) onRequest(ev Request) {
+	c := g.customer(&ev)
+	g.advance(c)
+	cl := g.classes[ev.Class]
+	if cl == nil {
+		cl = &class{Class: Class{Name: ev.Class, Aim: ev.Remaining, Effect: Unsafe}, mean: ev.Remaining.Seconds() / 8}
+	}
+	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now, deadline: g.now + ev.Remaining}
+	g.reqs[r.id] = r
+	c.rate += ev.Units
+	c.asked += uint16(ev.Units)
+	c.fresh = repeatTicks
+	if !g.within(r) {
+		g.refuse(r)
+		return
+	}
+	if len(c.held) == 0 && g.room(c, true) && g.try(r) {
+		return
+	}
+	// The queue holds no more than can still meet the aim.
+	if c.plan.Open > 0 {
+		slots := max(1, float64(c.plan.Open)*g.share(c))
+		if float64(len(c.held)+1)*cl.mean/slots > cl.Aim.Seconds()*fitAim {
+			g.refuse(r)
+			return
+		}
+	}
+	g.hold(r)
+}
+
+// within tells whether quota and ceiling have the request's units.
+func (g *Gateway) within(r *request) bool {
+	c := r.c
+	if r.counted {
+		return true
+	}
+	if c.plan.Rate > 0 && g.allowance(c) < r.units {
+		return false
+	}
+	return c.plan.HardRate == 0 || c.ceiling >= r.units
+}
+
+func (g *Gateway) hold(r *request) {
+	if len(r.c.held) == 0 {
+		g.waiting = append(g.waiting, r.c)
+	}
+	if r.counted {
+		r.c.held = slices.Insert(r.c.held, 0, r)
+	} else {
+		r.c.held = append(r.c.held, r)
+	}
+}
+
+// try sends the request to a server if one has room for it.
+func (g *Gateway) try(r *request) bool {
+	s := g.pick(r)
+	if s == nil {
+		return false
+	}
+	c := r.c
+	if !r.counted {
+		r.counted = true
+		c.store = max(0, c.store-r.units)
+		c.ceiling -= r.units
+		c.passed += uint16(r.units)
+		g.budget = min(retryCap, g.budget+retryEarn)
+	}
+	c.count(g.now, 1)
+	c.fresh = repeatTicks
+	r.srv, r.sentAt, r.load, r.quit = s, g.now, g.load(s), false
+	r.attempts++
+	s.out++
+	s.oldest = append(s.oldest, r)
+	if g.coldness(s) < 1 {
+		s.sends = append(s.sends, g.now)
+	} else {
+		g.sendRate++
+	}
+	if s.bad {
+		s.until = g.now + s.wait
+	}
+	var timeout time.Duration
+	if !g.set.CanCancel && r.cl.Effect == Safe && !r.cl.Stream {
+		timeout = max(r.cl.Aim*3/5, r.deadline-g.now-r.cl.Aim)
+	}
+	g.do(Send{ID: r.id, Server: s.ID, Timeout: timeout})
+	return true
+}
+
+func (g *Gateway) close(r *request) {
+	r.over = true
+	if i := slices.Index(r.c.held, r); i >= 0 {
+		g.unhold(r.c, i)
+	}
+	if r.srv == nil {
+		delete(g.reqs, r.id)
+	}
+}
+
+func (g *Gateway) unhold(c *customer, i int) {
+	c.held = slices.Delete(c.held, i, i+1)
+	c.fresh = repeatTicks
+	if len(c.held) == 0 {
+		g.waiting = slices.DeleteFunc(g.waiting, func(w *customer) bool { return w == c })
+	}
+}
+
+// refuse gives the final answer: a refusal where a retry is harmless.
+func (g *Gateway) refuse(r *request) {
+	if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
+		g.do(Fail{ID: r.id})
+	} else {
+		var after time.Duration
+		if c := r.c; c.plan.Rate > 0 && !r.counted {
+			lack := r.units - g.allowance(c)
+			after = time.Duration(max(lack, 0) / (c.plan.Rate * g.share(c)) * float64(time.Second))
+		}
+		g.do(Refuse{ID: r.id, RetryAfter: min(after, g.set.MaxRetryAfter)})
+	}
+	g.close(r)
+}
+
+func (g *Gateway) onOutcome(ev Outcome) {
+	r := g.reqs[ev.ID]
+	if r == nil || r.srv == nil || ev.Attempt != r.attempts-1 {
+		return
+	}
+	s, c := r.srv, r.c
+	g.advance(c)
+	r.srv = nil
+	r.stream = false
+	s.out--
+	c.count(g.now, -1)
+	c.fresh = repeatTicks
+	if i := slices.Index(s.oldest, r); i >= 0 {
+		s.oldest = slices.Delete(s.oldest, i, i+1)
+	}
+	g.judge(s, r, ev)
+	if ev.Code == OK && ev.Actual > 0 && ev.Actual != r.units {
+		c.store -= ev.Actual - r.units
+		c.passed += uint16(int(ev.Actual - r.units))
+	}
+	if !ev.Code.NeverRan() && !r.ran {
+		r.ran, r.ranZone, r.ranCell, r.ranAt = true, s.Zone, s.Cell, r.sentAt
+	}
+	switch {
+	case r.over || ev.Over || ev.Code == OK:
+		g.close(r)
+	case ev.Code == Moot || g.now >= r.deadline || !g.again(r, ev.Code):
+		g.refuse(r)
+	case !g.room(c, false) || !g.try(r):
+		g.hold(r)
+	}
+	g.release(c)
+}
+
+// again decides whether a request may have a further attempt. Where it may go
+// is usable's to say. The budget keeps retries from feeding an overload.
+func (g *Gateway) again(r *request, code Code) bool {
+	if g.set.MaxAttempts > 0 && r.attempts >= g.set.MaxAttempts {
+		return false
+	}
+	if r.ran {
+		if r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window {
+			return false
+		}
+	}
+	if g.now+g.predictBest(r) > r.deadline || g.budget < 1 {
+		return false
+	}
+	g.budget--
+	return true
+}
+
+func (g *Gateway) predictBest(r *request) time.Duration {
+	return time.Duration(r.cl.mean * 0.5 * float64(time.Second))
+}
+
+// release lets held requests go at an outcome: the customer's own while its
+// live count and the heard means stay under the cap, then others that waited
+// for a server.
+func (g *Gateway) release(c *customer) {
+	if len(c.held) > 0 {
+		g.drain(c, 1<<30)
+	}
+	if len(g.waiting) == 0 {
+		return
+	}
+	for _, w := range slices.Clone(g.waiting) {
+		if w != c && w.plan.Open == 0 {
+			g.drain(w, 1<<30)
+		}
+	}
+}
+
+// drain sends up to n of a customer's held requests, oldest first.
+func (g *Gateway) drain(c *customer, n int) {
+	for ; n > 0 && len(c.held) > 0; n-- {
+		r := c.held[0]
+		g.advance(c)
+		if !g.within(r) {
+			g.refuse(r)
+			continue
+		}
+		if !g.room(c, false) || !g.try(r) {
+			return
+		}
+		g.unhold(c, 0)
+	}
+}
+
+// Servers.
+
+func (g *Gateway) onMembers(ev Members) {
+	if ev.Kind == AskFailed {
+		g.asked = false
+		return
+	}
+	if ev.Kind != Changes {
+		for _, s := range g.fleet {
+			s.State = Removed
+		}
+	}
+	for _, m := range ev.Servers {
+		s := g.servers[m.ID]
+		if s == nil {
+			s = &server{hash: uint16((uint32(m.ID) * 0x9e3779b1) >> 16), slow: 1, wait: minEject}
+			g.servers[m.ID] = s
+			g.fleet = append(g.fleet, s)
+		} else if m.HasStart && m.Start != s.Start {
+			s.bad, s.errs, s.slow, s.wait = false, 0, 1, minEject
+		}
+		s.Server = m
+	}
+	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// coldness is the least share of its capacity a server surely has.
+func (g *Gateway) coldness(s *server) float64 {
+	if !s.HasStart || g.set.WarmWithin <= 0 || g.set.ColdShare <= 0 {
+		return 1
+	}
+	age := float64(g.now-s.Start) / float64(g.set.WarmWithin)
+	return min(1, g.set.ColdShare+(1-g.set.ColdShare)*max(age, 0))
+}
+
+// load is the attempts out at a server: own, and the peers' as last reported,
+// or its own load report where that says more.
+func (g *Gateway) load(s *server) float64 {
+	sum := float64(s.out)
+	for _, p := range g.peers {
+		if p.heard && g.now-p.at <= staleTicks*g.tick {
+			sum += p.outs[s.hash]
+		}
+	}
+	if s.loadAt > 0 && g.now-s.loadAt < time.Second {
+		sum = max(sum, s.load*0.7)
+	}
+	return sum
+}
+
+// predict is the latency in seconds expected of a server for a class.
+func (g *Gateway) predict(s *server, cl *class) float64 {
+	return cl.mean * s.slow * (1 + queueWeight*g.load(s)/g.size(s)) / g.coldness(s)
+}
+
+func (g *Gateway) size(s *server) float64 {
+	if g.set.SizeKnown && s.Weight > 0 {
+		sum, n := 0.0, 0.0
+		for _, o := range g.fleet {
+			sum, n = sum+o.Weight, n+1
+		}
+		return s.Weight * n / sum
+	}
+	return 1
+}
+
+// usable tells whether a request may go to a server at all: running, not
+// ejected (but for a trial), inside its group and window once it may have
+// run, and inside the budget of a cold server.
+func (g *Gateway) usable(s *server, r *request) bool {
+	if s.State != Running || g.now < s.fullAt {
+		return false
+	}
+	if r.ran && r.cl.Effect == Keyed {
+		if g.now-r.ranAt >= r.cl.Window || r.cl.Group == GroupZone && s.Zone != r.ranZone ||
+			r.cl.Group == GroupCell && s.Cell != r.ranCell {
+			return false
+		}
+	}
+	if cold := g.coldness(s); cold < 1 {
+		// A budget for every window, shared by all gateways: what warm servers
+		// bear, times the share of capacity the server surely has.
+		s.sends = slices.DeleteFunc(s.sends, func(t time.Duration) bool { return g.now-t > g.set.FallTime })
+		warm := g.sendRate / max(1, float64(len(g.fleet)))
+		if float64(len(s.sends)) >= max(1, warm*cold*g.set.FallMultiple*coldSafety) {
+			return false
+		}
+	}
+	return true
+}
+
+// pick chooses a server: the better of two random ones by predicted latency
+// and zone price, or nil when all are full. A trial goes to an ejected server
+// whose time is up.
+func (g *Gateway) pick(r *request) *server {
+	var ok []*server
+	for _, s := range g.fleet {
+		if !g.usable(s, r) {
+			continue
+		}
+		if s.bad {
+			if g.now >= s.until && s.out == 0 && r.cl.Effect == Safe && r.attempts == 0 {
+				return s
+			}
+			continue
+		}
+		ok = append(ok, s)
+	}
+	var best *server
+	low := math.Inf(1)
+	limit := r.cl.Aim.Seconds() * fitAim
+	for k := 0; k < 2 && len(ok) > 0; {
+		i := g.rng.IntN(len(ok))
+		s := ok[i]
+		ok = slices.Delete(ok, i, i+1)
+		p := g.predict(s, r.cl)
+		if p > limit && g.load(s) >= 2 {
+			continue
+		}
+		k++
+		if s.Zone != g.set.Zone {
+			p += r.cl.mean * g.set.CrossZoneCost * 25
+		}
+		if p < low {
+			best, low = s, p
+		}
+	}
+	return best
+}
+
+// judge learns from an outcome: latency, errors, load reports.
+func (g *Gateway) judge(s *server, r *request, ev Outcome) {
+	if len(ev.Load) == len(g.set.ReportNames) && len(g.loadCols) > 0 && ev.Load != nil {
+		s.load, s.loadAt = 0, g.now
+		for _, i := range g.loadCols {
+			s.load += ev.Load[i]
+		}
+	}
+	failed := 0.0
+	switch ev.Code {
+	case OK:
+		s.okAt = g.now
+		base := (1 + queueWeight*r.load/g.size(s)) / g.coldness(s)
+		lat := ev.Latency.Seconds() / base
+		s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
+		r.cl.mean += learn * 0.3 * (min(lat/max(s.slow, 0.3), 4*r.cl.mean) - r.cl.mean)
+		if s.bad {
+			if s.trials++; s.trials >= 2 {
+				s.bad, s.errs, s.wait = false, 0, max(minEject, s.wait/2)
+			} else {
+				s.until = g.now
+			}
+		}
+	case Full:
+		s.fullAt = g.now + 2*g.tick
+		return
+	case Cancelled, Moot:
+		return
+	case TimedOut:
+		if g.now >= r.deadline && s.okAt > r.sentAt {
+			return // the client's patience ended, not the server
+		}
+		failed = 1
+	default:
+		failed = 1
+	}
+	s.errs += 2 * learn * (failed - s.errs)
+	if ev.Code == ConnectFailed || ev.Code == Reset {
+		s.errs += learn * (1 - s.errs)
+	}
+	if failed > 0 && (s.bad || s.errs > errorLimit) {
+		g.eject(s)
+	}
+}
+
+// eject takes a server out of use for a while, unless too many are out.
+// Guards against servers that fail, hang or cannot be reached, whatever the
+// cause. A slowdown of all servers looks alike, so only a share is ejected.
+func (g *Gateway) eject(s *server) {
+	if !s.bad {
+		bad, all := 0, 0
+		for _, o := range g.fleet {
+			if o.State == Running {
+				all++
+				if o.bad {
+					bad++
+				}
+			}
+		}
+		if float64(bad+1) > max(1, ejectShare*float64(all)) {
+			return
+		}
+		s.bad = true
+	}
+	s.trials = 0
+	s.until = g.now + s.wait
+	s.wait = min(2*s.wait, maxEject)
+}
+
+// silence looks for servers that take work and answer none: attempts far
+// older than predicted and no success since the oldest was sent. They are
+// ejected and what can go elsewhere is called back.
+func (g *Gateway) silence(s *server) {
+	old := 0
+	for _, r := range s.oldest {
+		p := max(g.predict(s, r.cl), 0.1*r.cl.Aim.Seconds())
+		age := (g.now - r.sentAt).Seconds()
+		if s.okAt <= r.sentAt && !r.stream && age > 3*p {
+			old++
+			if age > 6*p {
+				old++
+			}
+		}
+	}
+	if old < 2 {
+		return
+	}
+	g.eject(s)
+	if !s.bad || !g.set.CanCancel {
+		return
+	}
+	for _, r := range slices.Clone(s.oldest) {
+		if !r.over && !r.quit && !r.stream && r.cl.Effect == Safe && g.now-r.sentAt > 2*g.tick &&
+			(g.set.MaxAttempts == 0 || r.attempts < g.set.MaxAttempts) && g.budget >= 1 {
+			r.quit = true
+			g.do(Cancel{ID: r.id, Attempt: r.attempts - 1})
+		}
+	}
+}
+
+// The eviction tick.
+
+func (g *Gateway) onTick() {
+	dt := g.now - g.lastTick
+	g.lastTick = g.now
+	g.ticks++
+	g.do(SetTimer{Token: "tick", After: g.tick})
+	if g.set.MustAsk && !g.asked && g.ticks%uint32(max(1, time.Second/g.tick)) == 0 {
+		g.asked = true
+		g.do(Watch{})
+	}
+	if g.set.FallTime > 0 {
+		g.sendRate *= math.Exp(-float64(dt) / float64(g.set.FallTime))
+	}
+	for _, s := range g.fleet {
+		g.silence(s)
+	}
+	for _, c := range g.ring {
+		c.count(g.now, 0)
+		c.mean, c.area = c.area/dt.Seconds(), 0
+	}
+	for _, c := range slices.Clone(g.waiting) {
+		g.advance(c)
+		g.age(c)
+		if len(c.held) == 0 {
+			continue
+		}
+		n := 1 << 30
+		if c.plan.Open > 0 {
+			out, held := g.others(c)
+			mine := float64(len(c.held))
+			part := (float64(c.plan.Open) - float64(c.out) - out) * mine / (mine + held)
+			n = int(math.Floor(max(part, 0) + g.rng.Float64()))
+		}
+		g.drain(c, n)
+	}
+	if g.set.CanTell {
+		g.report()
+	}
+}
+
+// age refuses held requests that can no longer meet their aim, while a retry
+// can still help, and in any case before the deadline.
+func (g *Gateway) age(c *customer) {
+	for _, r := range slices.Clone(c.held) {
+		last := min(r.arrived+r.cl.Aim, r.deadline) - g.predictBest(r)
+		if g.now >= last || g.now+2*g.tick >= r.deadline {
+			g.refuse(r)
+		}
+	}
+}
+
+// Reports between gateways. Layout: version, incarnation, sequence number,
+// flags, count of servers, servers (hash, quarters of attempts out), then
+// customers (hash, eighths of mean attempts out, held, running totals of
+// passed and asked units, store; under a ceiling also level and gift).
+
+const (
+	version      = 1
+	flagComplete = 1 // customers not named have none out and none held
+	heldCeiling  = 0x80
+	unknownStore = 255
+)
+
+func (g *Gateway) report() {
+	g.seq++
+	var list []*customer
+	for _, c := range g.ring {
+		if len(c.set) > 0 && (c.out > 0 || c.mean > 0 || len(c.held) > 0 || c.fresh > 0) {
+			list = append(list, c)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *customer) int {
+		if d := cmp.Compare(len(b.held)+b.fresh, len(a.held)+a.fresh); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.told, b.told)
+	})
+	for _, p := range g.peers {
+		if p.num != g.set.Me {
+			g.do(Tell{To: p.num, Data: g.message(p, list)})
+		}
+	}
+	for _, c := range list {
+		c.fresh = max(0, c.fresh-1)
+	}
+}
+
+func (g *Gateway) message(p *peer, list []*customer) []byte {
+	b := make([]byte, 0, maxMessage)
+	b = append(b, version)
+	b = binary.BigEndian.AppendUint32(b, g.inc)
+	b = binary.BigEndian.AppendUint32(b, g.seq)
+	b = append(b, flagComplete, 0)
+	for _, s := range g.fleet {
+		if s.out > 0 && b[10] < 30 {
+			b = binary.BigEndian.AppendUint16(b, s.hash)
+			b = append(b, small(float64(s.out)*4))
+			b[10]++
+		}
+	}
+	for _, c := range list {
+		i := slices.IndexFunc(c.set, func(v *peerView) bool { return v.p == p })
+		if i < 0 {
+			continue
+		}
+		if len(b)+13 > maxMessage {
+			b[9] &^= flagComplete
+			break
+		}
+		g.advance(c)
+		b = binary.BigEndian.AppendUint32(b, c.hash)
+		held := byte(min(len(c.held), 0x7f))
+		if c.plan.HardRate > 0 {
+			held |= heldCeiling
+		}
+		b = append(b, small(c.mean*8), held)
+		b = binary.BigEndian.AppendUint16(b, c.passed)
+		b = binary.BigEndian.AppendUint16(b, c.asked)
+		store := byte(unknownStore)
+		if c.known && c.plan.Burst > 0 {
+			store = byte(250 * c.store / c.plan.Burst)
+		}
+		b = append(b, store)
+		if c.plan.HardRate > 0 {
+			gift := g.gift(c, c.set[i])
+			size := c.plan.HardBurst / c.n
+			b = append(b, byte(250*max(0, c.ceiling)/size), gift)
+		}
+		c.told = g.ticks
+	}
+	return b
+}
+
+func small(v float64) byte { return byte(min(math.Round(v), 255)) }
+
+// gift takes units of the ceiling's own part for a peer that has less: at
+// most what one tick refills, so that what is in flight stays small. It is
+// taken off before it is sent; lost, it is room lost, never room made.
+func (g *Gateway) gift(c *customer, v *peerView) byte {
+	size := c.plan.HardBurst / c.n
+	if v.ceiling < 0 || g.stale(v) || c.ceiling < giftRoom*size || v.ceiling > giftRoom {
+		return 0
+	}
+	units := c.plan.HardRate / c.n * g.tick.Seconds()
+	n := byte(min(255, math.Floor(units*32)))
+	c.ceiling -= float64(n) / 32
+	return n
+}
+
+func (g *Gateway) onPeer(ev PeerMessage) {
+	b := ev.Data
+	if ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me || len(b) < 11 || b[0] != version ||
+		len(b) > maxMessage || len(b) < 11+3*int(b[10]) {
+		return
+	}
+	p := g.peers[ev.From]
+	inc, seq := binary.BigEndian.Uint32(b[1:]), binary.BigEndian.Uint32(b[5:])
+	if p.heard && p.inc == inc && int32(seq-p.seq) <= 0 {
+		return // old or repeated: the later report holds all it said
+	}
+	restarted := p.heard && p.inc != inc
+	p.heard, p.inc, p.seq, p.at = true, inc, seq, g.now
+	complete := b[9]&flagComplete != 0
+	p.outs = map[uint16]float64{}
+	servers := int(b[10])
+	b = b[11:]
+	for range servers {
+		p.outs[binary.BigEndian.Uint16(b)] = float64(b[2]) / 4
+		b = b[3:]
+	}
+	if complete || restarted {
+		for _, c := range g.ring {
+			for _, v := range c.set {
+				if v.p == p {
+					v.out, v.held = 0, 0
+				}
+			}
+		}
+	}
+	for len(b) >= 11 {
+		h, out, held := binary.BigEndian.Uint32(b), float64(b[4])/8, b[5]
+		passed, asked, store := binary.BigEndian.Uint16(b[6:]), binary.BigEndian.Uint16(b[8:]), b[10]
+		b = b[11:]
+		level, gift := -1.0, 0.0
+		if held&heldCeiling != 0 {
+			if len(b) < 2 {
+				return
+			}
+			level, gift = min(1, float64(b[0])/250), float64(b[1])/32
+			b = b[2:]
+		}
+		if c := g.byHash[h]; c != nil {
+			g.hear(c, p, out, float64(held&^heldCeiling), passed, asked, store, level, gift)
+		}
+	}
+}
+
+// hear takes in what a peer says of a customer. Running totals heal lost
+// reports; a total that jumps oddly (the peer started anew) is a new base.
+func (g *Gateway) hear(c *customer, p *peer, out, held float64, passed, asked uint16, store byte,
+	level, gift float64) {
+	i := slices.IndexFunc(c.set, func(v *peerView) bool { return v.p == p })
+	if i < 0 {
+		return
+	}
+	g.advance(c)
+	v := c.set[i]
+	v.at, v.out, v.held, v.ceiling = g.now, out, held, level
+	if v.heard && v.inc != p.inc {
+		v.passed, v.asked = 0, 0
+	}
+	if v.heard {
+		d := float64(int16(passed - v.passed))
+		if d > -8*max(1, g.set.LargestUnits) && d <= c.plan.Burst+10*c.plan.Rate {
+			c.store = min(c.plan.Burst, max(0, c.store-d))
+		}
+		if a := float64(int16(asked - v.asked)); a > 0 && a < 2000 {
+			v.rate += a
+		}
+	}
+	v.heard, v.inc, v.passed, v.asked = true, p.inc, passed, asked
+	if !c.known && store != unknownStore {
+		c.known = true
+		c.store = min(c.store, float64(store)/250*c.plan.Burst)
+	}
+	if c.plan.HardRate > 0 && gift > 0 && gift <= c.plan.HardRate/c.n {
+		c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+gift)
+	}
+}
