Answer at once what no tick could answer in time

Cause: a request held with less than a tick to its deadline was owed an answer before the next tick looked at the queue. A request whose client leaves within a tick is refused rather than held.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -435,7 +435,13 @@
 	return c.plan.HardRate == 0 || c.ceiling >= r.units
 }
 
+// hold puts a request in its customer's queue. What no tick could answer in
+// time is answered now.
 func (g *Gateway) hold(r *request) {
+	if g.now+g.tick+2*g.set.Resolution >= r.deadline {
+		g.refuse(r)
+		return
+	}
 	if len(r.c.held) == 0 {
 		g.waiting = append(g.waiting, r.c)
 	}
