Bound the wait at servers; count work that was given up

Cause: attempts that timed out or whose client left went on running on the server while the gateway counted them as gone, and the cap on a server's attempts followed the longest aim. Told from a plain shortage by the throughput: sends a second were a third of what the fleet did before. Should also help against any hidden loss of capacity; could harm where work is dropped at a time-out (load is then overstated for a while).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,8 +11,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -31,13 +29,15 @@
 	demandSpan  = 2 * time.Second        // memory of the demand rates
 	blindExtra  = 25 * time.Millisecond  // time a report travels
 	repeatTicks = 3                      // a change is told in this many reports
-	maxMessage  = 256                    // bytes
 
-	queueWeight = 0.5  // what each attempt out adds to a server's latency, in service times
-	fitAim      = 0.75 // a server is full when its predicted latency passes this part of the aim
-	learn       = 0.1  // weight of a new latency or error in a server's averages
-	errorLimit  = 0.35 // error average that ejects a server
-	ejectShare  = 0.34 // at most this share of the fleet is ejected
+	queueWeight = 0.5             // what each attempt out adds to a server's latency, in service times
+	waitAim     = 0.4             // a server is full when the wait there passes this part of the shortest aim
+	leastOut    = 2.0             // but not below this many attempts out
+	holdAim     = 0.5             // a request is held for this part of its aim
+	learn       = 0.1             // weight of a new latency or error in a server's averages
+	errorLimit  = 0.35            // error average that ejects a server
+	ejectShare  = 0.34            // at most this share of the fleet is ejected
+	ghostLife   = 6 * time.Second // given-up work is taken to be done by then
 	minEject    = time.Second
 	maxEject    = 8 * time.Second
 	retryEarn   = 0.15 // retry budget earned by each first attempt
@@ -46,162 +46,24 @@
 	giftRoom    = 0.5  // a ceiling part above this share of its size may be given
 )
 
-type customer struct {
-	hash   uint32
-	plan   *Plan
-	set    []*peerView // its other gateways
-	n      float64     // its gateways, this one included
-	held   []*request  // waiting, in arrival order
-	out    int
-	area   float64 // integral of out over the tick, for its mean
-	areaAt time.Duration
-	mean   float64
-
-	at      time.Duration // time of the stores below
-	store   float64       // estimate of the quota's store
-	known   bool          // the estimate rests on more than a fresh start
-	ceiling float64       // own hard part of the ceiling
-	passed  uint16        // running totals of units, told to peers
-	asked   uint16
-	rate    float64 // own asked units, decayed over demandSpan
-	fresh   int     // ticks for which a change is still told
-	told    uint32  // tick of the last report
-}
-
-// peerView is what one other gateway last said of one customer.
-type peerView struct {
-	p       *peer
-	at      time.Duration
-	heard   bool
-	inc     uint32
-	out     float64
-	held    float64
-	passed  uint16
-	asked   uint16
-	rate    float64 // asked units, decayed
-	ceiling float64 // filling of its ceiling part, 0 to 1; below 0 unknown
-}
-
-type peer struct {
-	num   int
-	inc   uint32
-	seq   uint32
-	at    time.Duration
-	heard bool
-	outs  map[uint16]float64 // attempts out by server
-}
-
-type request struct {
-	id       RequestID
-	c        *customer
-	cl       *class
-	units    float64
-	arrived  time.Duration
-	deadline time.Duration
-	attempts int
-	srv      *server // of the attempt out; nil when none is
-	sentAt   time.Duration
-	load     float64 // the server's when sent to
-	counted  bool    // has taken its units
-	ran      bool    // an attempt may have run
-	ranZone  string  // where and since when, for keyed classes
-	ranCell  int
-	ranAt    time.Duration
-	over     bool
-	stream   bool
-	quit     bool // its attempt was cancelled
-}
-
-type class struct {
-	Class
-	mean float64 // seconds an idle server of the fleet takes
-}
-
-type server struct {
-	Server
-	hash   uint16
-	out    int
-	slow   float64 // latency against the fleet's, at equal load
-	errs   float64 // average of errors
-	okAt   time.Duration
-	oldest []*request // attempts out, oldest first
-	load   float64    // last reported load
-	loadAt time.Duration
-	fullAt time.Duration
-	bad    bool          // ejected
-	until  time.Duration // until then nothing is tried
-	wait   time.Duration // length of the next ejection
-	trials int
-	sends  []time.Duration // while cold: recent sends
-}
-
-// Gateway decides for one gateway. It is not safe for concurrent use.
-type Gateway struct {
-	set       Settings
-	rng       *rand.Rand
-	inc       uint32
-	seq       uint32
-	tick      time.Duration
-	ticks     uint32
-	begun     bool
-	start     time.Duration
-	now       time.Duration
-	lastTick  time.Duration
-	classes   map[string]*class
-	plans     map[string]*Plan
-	customers map[string]*customer
-	byHash    map[uint32]*customer
-	ring      []*customer
-	waiting   []*customer
-	reqs      map[RequestID]*request
-	servers   map[ServerID]*server
-	fleet     []*server
-	peers     []*peer
-	budget    float64
-	sendRate  float64 // own sends to warm servers, decayed over FallTime
-	acts      []Action
-	asked     bool
-	loadCols  []int
-}
-
 // New returns a gateway that has seen nothing yet. The seed feeds its random
 // choices; equal settings, seeds and events give equal actions.
 func New(s Settings, seed uint64) (*Gateway, error) {
-	bad := func(ok bool, key string, args ...any) error {
-		if ok {
-			return nil
-		}
-		return fmt.Errorf("policy: setting %s", fmt.Sprintf(key, args...))
-	}
-	errs := []error{
-		bad(s.Resolution > 0, "Resolution: not above 0"),
-		bad(s.Gateways >= 1, "Gateways: below 1"),
-		bad(s.Me >= 0 && s.Me < max(s.Gateways, 1), "Me: outside 0 to Gateways-1"),
-		bad(len(s.Plans) > 0, "Plans: none"),
-		bad(len(s.Classes) > 0, "Classes: none"),
-		bad(s.MailPerSecond >= 0, "MailPerSecond: negative"),
+	if err := s.check(); err != nil {
+		return nil, err
 	}
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
 		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{},
 		budget: retryCap}
-	for i, p := range s.Plans {
-		errs = append(errs, bad(p.Name != "", "Plans[%d].Name: empty", i),
-			bad(p.Rate >= 0 && p.Burst >= 0, "Plans[%d].Rate or Burst: negative", i),
-			bad(p.Open >= 0, "Plans[%d].Open: negative", i),
-			bad(p.HardRate >= 0 && p.HardBurst >= 0, "Plans[%d].HardRate or HardBurst: negative", i))
+	g.mean = s.Classes[0].Aim.Seconds() / 8
+	g.minAim = math.Inf(1)
+	for _, p := range s.Plans {
 		g.plans[p.Name] = &p
 	}
-	for i, c := range s.Classes {
-		errs = append(errs, bad(c.Name != "", "Classes[%d].Name: empty", i),
-			bad(c.Aim > 0, "Classes[%d].Aim: not above 0", i),
-			bad(c.Deadline > 0, "Classes[%d].Deadline: not above 0", i))
+	for _, c := range s.Classes {
 		g.classes[c.Name] = &class{Class: c, mean: c.Aim.Seconds() / 8}
-	}
-	for _, err := range errs {
-		if err != nil {
-			return nil, err
-		}
+		g.minAim = min(g.minAim, c.Aim.Seconds())
 	}
 	g.inc = g.rng.Uint32()
 	mail := max(s.MailPerSecond*mailShare, 1)
@@ -273,7 +135,8 @@
 	c := &customer{hash: h.Sum32(), plan: plan, n: 1, at: g.now, areaAt: g.now, store: plan.Burst}
 	for i := range min(r.Spread, g.set.Gateways) {
 		if num := (r.First + i) % g.set.Gateways; num != g.set.Me && num >= 0 {
-			c.set = append(c.set, &peerView{p: g.peers[num], ceiling: -1})
+			v := &peerView{p: g.peers[num], ceiling: -1}
+			c.set, v.p.views = append(c.set, v), append(v.p.views, v)
 			c.n++
 		}
 	}
@@ -415,7 +278,7 @@
 	// The queue holds no more than can still meet the aim.
 	if c.plan.Open > 0 {
 		slots := max(1, float64(c.plan.Open)*g.share(c))
-		if float64(len(c.held)+1)*cl.mean/slots > cl.Aim.Seconds()*fitAim {
+		if float64(len(c.held)+1)*cl.mean/slots > cl.Aim.Seconds()*holdAim {
 			g.refuse(r)
 			return
 		}
@@ -468,6 +331,7 @@
 	}
 	c.count(g.now, 1)
 	c.fresh = repeatTicks
+	r.last = s
 	r.srv, r.sentAt, r.load, r.quit = s, g.now, g.load(s), false
 	r.attempts++
 	s.out++
@@ -566,36 +430,32 @@
 			return false
 		}
 	}
-	if g.now+g.predictBest(r) > r.deadline || g.budget < 1 {
+	if g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline || g.budget < 1 {
 		return false
 	}
 	g.budget--
 	return true
 }
 
-func (g *Gateway) predictBest(r *request) time.Duration {
-	return time.Duration(r.cl.mean * 0.5 * float64(time.Second))
-}
-
 // release lets held requests go at an outcome: the customer's own while its
 // live count and the heard means stay under the cap, then others that waited
 // for a server.
 func (g *Gateway) release(c *customer) {
-	if len(c.held) > 0 {
-		g.drain(c, 1<<30)
-	}
-	if len(g.waiting) == 0 {
+	if !g.drain(c, 1<<30) || len(g.waiting) == 0 {
 		return
 	}
-	for _, w := range slices.Clone(g.waiting) {
-		if w != c && w.plan.Open == 0 {
-			g.drain(w, 1<<30)
+	rest := slices.Clone(g.waiting)
+	slices.SortStableFunc(rest, func(a, b *customer) int { return cmp.Compare(a.held[0].arrived, b.held[0].arrived) })
+	for _, w := range rest {
+		if w != c && !g.drain(w, 1) {
+			return
 		}
 	}
 }
 
-// drain sends up to n of a customer's held requests, oldest first.
-func (g *Gateway) drain(c *customer, n int) {
+// drain sends up to n of a customer's held requests, oldest first. It is false
+// when no server had room.
+func (g *Gateway) drain(c *customer, n int) bool {
 	for ; n > 0 && len(c.held) > 0; n-- {
 		r := c.held[0]
 		g.advance(c)
@@ -603,11 +463,15 @@
 			g.refuse(r)
 			continue
 		}
-		if !g.room(c, false) || !g.try(r) {
-			return
+		if !g.room(c, false) {
+			return true
+		}
+		if !g.try(r) {
+			return false
 		}
 		g.unhold(c, 0)
 	}
+	return true
 }
 
 // Servers.
@@ -633,6 +497,10 @@
 		}
 		s.Server = m
 	}
+	g.size = 0
+	for _, s := range g.fleet {
+		g.size += s.Weight / float64(len(g.fleet))
+	}
 	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
@@ -649,11 +517,7 @@
 // or its own load report where that says more.
 func (g *Gateway) load(s *server) float64 {
 	sum := float64(s.out)
-	for _, p := range g.peers {
-		if p.heard && g.now-p.at <= staleTicks*g.tick {
-			sum += p.outs[s.hash]
-		}
-	}
+	sum += s.heard + float64(len(s.ghosts))
 	if s.loadAt > 0 && g.now-s.loadAt < time.Second {
 		sum = max(sum, s.load*0.7)
 	}
@@ -662,20 +526,25 @@
 
 // predict is the latency in seconds expected of a server for a class.
 func (g *Gateway) predict(s *server, cl *class) float64 {
-	return cl.mean * s.slow * (1 + queueWeight*g.load(s)/g.size(s)) / g.coldness(s)
+	return cl.mean * s.slow * (1 + queueWeight*g.load(s)/g.sizeOf(s)) / g.coldness(s)
 }
 
-func (g *Gateway) size(s *server) float64 {
-	if g.set.SizeKnown && s.Weight > 0 {
-		sum, n := 0.0, 0.0
-		for _, o := range g.fleet {
-			sum, n = sum+o.Weight, n+1
-		}
-		return s.Weight * n / sum
+// size is a server's size against the fleet's mean, where the list tells it.
+func (g *Gateway) sizeOf(s *server) float64 {
+	if g.set.SizeKnown && s.Weight > 0 && g.size > 0 {
+		return s.Weight / g.size
 	}
 	return 1
 }
 
+// full tells whether a server has all the work it can turn round in time: the
+// wait there would pass a share of the shortest aim. Beyond that requests are
+// held here, where they can still go elsewhere or be refused.
+func (g *Gateway) full(s *server) bool {
+	load := g.load(s)
+	return load >= leastOut*g.sizeOf(s) && g.mean*s.slow/g.coldness(s)*queueWeight*load/g.sizeOf(s) > waitAim*g.minAim
+}
+
 // usable tells whether a request may go to a server at all: running, not
 // ejected (but for a trial), inside its group and window once it may have
 // run, and inside the budget of a cold server.
@@ -716,19 +585,20 @@
 			}
 			continue
 		}
-		ok = append(ok, s)
+		if s != r.last {
+			ok = append(ok, s)
+		}
 	}
 	var best *server
 	low := math.Inf(1)
-	limit := r.cl.Aim.Seconds() * fitAim
 	for k := 0; k < 2 && len(ok) > 0; {
 		i := g.rng.IntN(len(ok))
 		s := ok[i]
 		ok = slices.Delete(ok, i, i+1)
-		p := g.predict(s, r.cl)
-		if p > limit && g.load(s) >= 2 {
+		if g.full(s) {
 			continue
 		}
+		p := g.predict(s, r.cl)
 		k++
 		if s.Zone != g.set.Zone {
 			p += r.cl.mean * g.set.CrossZoneCost * 25
@@ -752,9 +622,11 @@
 	switch ev.Code {
 	case OK:
 		s.okAt = g.now
-		base := (1 + queueWeight*r.load/g.size(s)) / g.coldness(s)
+		base := (1 + queueWeight*r.load/g.sizeOf(s)) / g.coldness(s)
 		lat := ev.Latency.Seconds() / base
 		s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
+		g.mean += learn * 0.3 * (r.cl.mean - g.mean)
+		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return t < r.sentAt })
 		r.cl.mean += learn * 0.3 * (min(lat/max(s.slow, 0.3), 4*r.cl.mean) - r.cl.mean)
 		if s.bad {
 			if s.trials++; s.trials >= 2 {
@@ -766,13 +638,14 @@
 	case Full:
 		s.fullAt = g.now + 2*g.tick
 		return
-	case Cancelled, Moot:
+	case Moot:
+		return
+	case Cancelled, TimedOut:
+		// The work may still run, ahead of what is sent later, until a later
+		// attempt ends. Silence tells hung servers from slow ones, not this.
+		s.ghosts = append(s.ghosts, r.sentAt)
+		s.slow += learn * (min(max(ev.Latency.Seconds()/r.cl.mean/(1+queueWeight*r.load/g.sizeOf(s)), s.slow), 12) - s.slow)
 		return
-	case TimedOut:
-		if g.now >= r.deadline && s.okAt > r.sentAt {
-			return // the client's patience ended, not the server
-		}
-		failed = 1
 	default:
 		failed = 1
 	}
@@ -781,28 +654,29 @@
 		s.errs += learn * (1 - s.errs)
 	}
 	if failed > 0 && (s.bad || s.errs > errorLimit) {
-		g.eject(s)
+		g.eject(s, ev.Code == ConnectFailed)
 	}
 }
 
 // eject takes a server out of use for a while, unless too many are out.
 // Guards against servers that fail, hang or cannot be reached, whatever the
 // cause. A slowdown of all servers looks alike, so only a share is ejected.
-func (g *Gateway) eject(s *server) {
+// One that cannot be reached is no slow one and is not held to the share.
+func (g *Gateway) eject(s *server, unreachable bool) {
 	if !s.bad {
 		bad, all := 0, 0
 		for _, o := range g.fleet {
 			if o.State == Running {
 				all++
-				if o.bad {
+				if o.bad && !o.dead {
 					bad++
 				}
 			}
 		}
-		if float64(bad+1) > max(1, ejectShare*float64(all)) {
+		if !unreachable && float64(bad+1) > max(1, ejectShare*float64(all)) {
 			return
 		}
-		s.bad = true
+		s.bad, s.dead = true, unreachable
 	}
 	s.trials = 0
 	s.until = g.now + s.wait
@@ -827,7 +701,7 @@
 	if old < 2 {
 		return
 	}
-	g.eject(s)
+	g.eject(s, false)
 	if !s.bad || !g.set.CanCancel {
 		return
 	}
@@ -854,7 +728,9 @@
 	if g.set.FallTime > 0 {
 		g.sendRate *= math.Exp(-float64(dt) / float64(g.set.FallTime))
 	}
+	g.sumLoads()
 	for _, s := range g.fleet {
+		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return g.now-t > ghostLife })
 		g.silence(s)
 	}
 	for _, c := range g.ring {
@@ -885,24 +761,13 @@
 // can still help, and in any case before the deadline.
 func (g *Gateway) age(c *customer) {
 	for _, r := range slices.Clone(c.held) {
-		last := min(r.arrived+r.cl.Aim, r.deadline) - g.predictBest(r)
-		if g.now >= last || g.now+2*g.tick >= r.deadline {
+		if g.now-r.arrived > time.Duration(holdAim*float64(r.cl.Aim)) || g.now+2*g.tick >= r.deadline {
 			g.refuse(r)
 		}
 	}
 }
 
-// Reports between gateways. Layout: version, incarnation, sequence number,
-// flags, count of servers, servers (hash, quarters of attempts out), then
-// customers (hash, eighths of mean attempts out, held, running totals of
-// passed and asked units, store; under a ceiling also level and gift).
-
-const (
-	version      = 1
-	flagComplete = 1 // customers not named have none out and none held
-	heldCeiling  = 0x80
-	unknownStore = 255
-)
+// Reports between gateways; report.go lays them out.
 
 func (g *Gateway) report() {
 	g.seq++
@@ -928,17 +793,13 @@
 	}
 }
 
+// message makes the report for one peer: the servers this gateway has attempts
+// out at, then the customers that come in through both, busiest first.
 func (g *Gateway) message(p *peer, list []*customer) []byte {
-	b := make([]byte, 0, maxMessage)
-	b = append(b, version)
-	b = binary.BigEndian.AppendUint32(b, g.inc)
-	b = binary.BigEndian.AppendUint32(b, g.seq)
-	b = append(b, flagComplete, 0)
+	m := report{inc: g.inc, seq: g.seq, complete: true}
 	for _, s := range g.fleet {
-		if s.out > 0 && b[10] < 30 {
-			b = binary.BigEndian.AppendUint16(b, s.hash)
-			b = append(b, small(float64(s.out)*4))
-			b[10]++
+		if s.out > 0 && len(m.servers) < maxServers {
+			m.servers = append(m.servers, serverOut{s.hash, small(float64(s.out) * 4)})
 		}
 	}
 	for _, c := range list {
@@ -946,32 +807,24 @@
 		if i < 0 {
 			continue
 		}
-		if len(b)+13 > maxMessage {
-			b[9] &^= flagComplete
+		if !m.fits() {
+			m.complete = false
 			break
 		}
 		g.advance(c)
-		b = binary.BigEndian.AppendUint32(b, c.hash)
-		held := byte(min(len(c.held), 0x7f))
-		if c.plan.HardRate > 0 {
-			held |= heldCeiling
-		}
-		b = append(b, small(c.mean*8), held)
-		b = binary.BigEndian.AppendUint16(b, c.passed)
-		b = binary.BigEndian.AppendUint16(b, c.asked)
-		store := byte(unknownStore)
+		e := entry{hash: c.hash, out: small(c.mean * 8), held: byte(min(len(c.held), maxHeld)),
+			passed: c.passed, asked: c.asked, store: unknownStore}
 		if c.known && c.plan.Burst > 0 {
-			store = byte(250 * c.store / c.plan.Burst)
+			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
 		}
-		b = append(b, store)
 		if c.plan.HardRate > 0 {
-			gift := g.gift(c, c.set[i])
-			size := c.plan.HardBurst / c.n
-			b = append(b, byte(250*max(0, c.ceiling)/size), gift)
+			e.ceiling, e.gift = true, g.gift(c, c.set[i])
+			e.level = small(250 * max(0, c.ceiling) * c.n / c.plan.HardBurst)
 		}
+		m.customers = append(m.customers, e)
 		c.told = g.ticks
 	}
-	return b
+	return m.encode()
 }
 
 func small(v float64) byte { return byte(min(math.Round(v), 255)) }
@@ -991,82 +844,75 @@
 }
 
 func (g *Gateway) onPeer(ev PeerMessage) {
-	b := ev.Data
-	if ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me || len(b) < 11 || b[0] != version ||
-		len(b) > maxMessage || len(b) < 11+3*int(b[10]) {
+	m, ok := decodeReport(ev.Data)
+	if !ok || ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me {
 		return
 	}
 	p := g.peers[ev.From]
-	inc, seq := binary.BigEndian.Uint32(b[1:]), binary.BigEndian.Uint32(b[5:])
-	if p.heard && p.inc == inc && int32(seq-p.seq) <= 0 {
+	if p.heard && p.inc == m.inc && int32(m.seq-p.seq) <= 0 {
 		return // old or repeated: the later report holds all it said
 	}
-	restarted := p.heard && p.inc != inc
-	p.heard, p.inc, p.seq, p.at = true, inc, seq, g.now
-	complete := b[9]&flagComplete != 0
+	if m.complete || p.inc != m.inc {
+		for _, v := range p.views {
+			v.out, v.held = 0, 0
+		}
+	}
+	p.heard, p.inc, p.seq, p.at = true, m.inc, m.seq, g.now
 	p.outs = map[uint16]float64{}
-	servers := int(b[10])
-	b = b[11:]
-	for range servers {
-		p.outs[binary.BigEndian.Uint16(b)] = float64(b[2]) / 4
-		b = b[3:]
-	}
-	if complete || restarted {
-		for _, c := range g.ring {
-			for _, v := range c.set {
-				if v.p == p {
-					v.out, v.held = 0, 0
-				}
-			}
+	for _, o := range m.servers {
+		p.outs[o.hash] = float64(o.out) / 4
+	}
+	g.sumLoads()
+	for _, e := range m.customers {
+		if c := g.byHash[e.hash]; c != nil {
+			g.hear(c, p, e)
 		}
 	}
-	for len(b) >= 11 {
-		h, out, held := binary.BigEndian.Uint32(b), float64(b[4])/8, b[5]
-		passed, asked, store := binary.BigEndian.Uint16(b[6:]), binary.BigEndian.Uint16(b[8:]), b[10]
-		b = b[11:]
-		level, gift := -1.0, 0.0
-		if held&heldCeiling != 0 {
-			if len(b) < 2 {
-				return
+}
+
+// sumLoads sums the peers' attempts out at each server; old counts are let go.
+func (g *Gateway) sumLoads() {
+	for _, s := range g.fleet {
+		s.heard = 0
+		for _, p := range g.peers {
+			if p.heard && g.now-p.at <= staleTicks*g.tick {
+				s.heard += p.outs[s.hash]
 			}
-			level, gift = min(1, float64(b[0])/250), float64(b[1])/32
-			b = b[2:]
-		}
-		if c := g.byHash[h]; c != nil {
-			g.hear(c, p, out, float64(held&^heldCeiling), passed, asked, store, level, gift)
 		}
 	}
 }
 
 // hear takes in what a peer says of a customer. Running totals heal lost
 // reports; a total that jumps oddly (the peer started anew) is a new base.
-func (g *Gateway) hear(c *customer, p *peer, out, held float64, passed, asked uint16, store byte,
-	level, gift float64) {
+func (g *Gateway) hear(c *customer, p *peer, e entry) {
 	i := slices.IndexFunc(c.set, func(v *peerView) bool { return v.p == p })
 	if i < 0 {
 		return
 	}
 	g.advance(c)
 	v := c.set[i]
-	v.at, v.out, v.held, v.ceiling = g.now, out, held, level
+	v.out, v.held, v.ceiling = float64(e.out)/8, float64(e.held), -1
+	if e.ceiling {
+		v.ceiling = min(1, float64(e.level)/250)
+	}
 	if v.heard && v.inc != p.inc {
 		v.passed, v.asked = 0, 0
 	}
 	if v.heard {
-		d := float64(int16(passed - v.passed))
+		d := float64(int16(e.passed - v.passed))
 		if d > -8*max(1, g.set.LargestUnits) && d <= c.plan.Burst+10*c.plan.Rate {
 			c.store = min(c.plan.Burst, max(0, c.store-d))
 		}
-		if a := float64(int16(asked - v.asked)); a > 0 && a < 2000 {
+		if a := float64(int16(e.asked - v.asked)); a > 0 && a < 2000 {
 			v.rate += a
 		}
 	}
-	v.heard, v.inc, v.passed, v.asked = true, p.inc, passed, asked
-	if !c.known && store != unknownStore {
+	v.heard, v.inc, v.passed, v.asked = true, p.inc, e.passed, e.asked
+	if !c.known && e.store != unknownStore {
 		c.known = true
-		c.store = min(c.store, float64(store)/250*c.plan.Burst)
+		c.store = min(c.store, float64(e.store)/250*c.plan.Burst)
 	}
-	if c.plan.HardRate > 0 && gift > 0 && gift <= c.plan.HardRate/c.n {
+	if gift := float64(e.gift) / 32; c.plan.HardRate > 0 && gift <= c.plan.HardRate/c.n {
 		c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+gift)
 	}
 }
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,132 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+type customer struct {
+	hash   uint32
+	plan   *Plan
+	set    []*peerView // its other gateways
+	n      float64     // its gateways, this one included
+	held   []*request  // waiting, in arrival order
+	out    int
+	area   float64 // integral of out over the tick, for its mean
+	areaAt time.Duration
+	mean   float64
+
+	at      time.Duration // time of the stores below
+	store   float64       // estimate of the quota's store
+	known   bool          // the estimate rests on more than a fresh start
+	ceiling float64       // own hard part of the ceiling
+	passed  uint16        // running totals of units, told to peers
+	asked   uint16
+	rate    float64 // own asked units, decayed over demandSpan
+	fresh   int     // ticks for which a change is still told
+	told    uint32  // tick of the last report
+}
+
+// peerView is what one other gateway last said of one customer.
+type peerView struct {
+	p       *peer
+	at      time.Duration
+	heard   bool
+	inc     uint32
+	out     float64
+	held    float64
+	passed  uint16
+	asked   uint16
+	rate    float64 // asked units, decayed
+	ceiling float64 // filling of its ceiling part, 0 to 1; below 0 unknown
+}
+
+type peer struct {
+	num   int
+	inc   uint32
+	seq   uint32
+	at    time.Duration
+	heard bool
+	outs  map[uint16]float64 // attempts out by server
+	views []*peerView        // what it said of each customer
+}
+
+type request struct {
+	id       RequestID
+	c        *customer
+	cl       *class
+	units    float64
+	arrived  time.Duration
+	deadline time.Duration
+	attempts int
+	srv      *server // of the attempt out; nil when none is
+	sentAt   time.Duration
+	load     float64 // the server's when sent to
+	counted  bool    // has taken its units
+	ran      bool    // an attempt may have run
+	ranZone  string  // where and since when, for keyed classes
+	ranCell  int
+	ranAt    time.Duration
+	over     bool
+	stream   bool
+	quit     bool    // its attempt was cancelled
+	last     *server // of the attempt before
+}
+
+type class struct {
+	Class
+	mean float64 // seconds an idle server of the fleet takes
+}
+
+type server struct {
+	Server
+	hash   uint16
+	out    int
+	slow   float64 // latency against the fleet's, at equal load
+	errs   float64 // average of errors
+	okAt   time.Duration
+	heard  float64         // attempts out there, as the peers last said
+	oldest []*request      // attempts out, oldest first
+	ghosts []time.Duration // when attempts were sent that were given up but may still run
+	load   float64         // last reported load
+	loadAt time.Duration
+	fullAt time.Duration
+	bad    bool          // ejected
+	dead   bool          // because it could not be reached
+	until  time.Duration // until then nothing is tried
+	wait   time.Duration // length of the next ejection
+	trials int
+	sends  []time.Duration // while cold: recent sends
+}
+
+// Gateway decides for one gateway. It is not safe for concurrent use.
+type Gateway struct {
+	set       Settings
+	rng       *rand.Rand
+	inc       uint32
+	seq       uint32
+	tick      time.Duration
+	ticks     uint32
+	begun     bool
+	start     time.Duration
+	now       time.Duration
+	lastTick  time.Duration
+	classes   map[string]*class
+	plans     map[string]*Plan
+	customers map[string]*customer
+	byHash    map[uint32]*customer
+	ring      []*customer
+	waiting   []*customer
+	reqs      map[RequestID]*request
+	servers   map[ServerID]*server
+	fleet     []*server
+	peers     []*peer
+	budget    float64
+	sendRate  float64 // own sends to warm servers, decayed over FallTime
+	acts      []Action
+	asked     bool
+	loadCols  []int
+	size      float64 // mean weight in the list
+	mean      float64 // seconds an idle server takes, over all classes
+	minAim    float64 // the shortest aim, in seconds
+}
