Refuse clients' repeats while requests wait for servers

Change: within 200 ms of a request finding no server, repeats are refused, and refusals carry the longest advice.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,9 +30,10 @@
 	blindExtra  = 25 * time.Millisecond  // time a report travels
 	repeatTicks = 3                      // a change is told in this many reports
 
-	queueWeight = 0.5             // what each attempt out adds to a server's latency, in service times
-	waitAim     = 0.4             // a server is full when the wait there passes this part of the shortest aim
-	leastOut    = 2.0             // but not below this many attempts out
+	queueWeight = 0.5 // what each attempt out adds to a server's latency, in service times
+	waitAim     = 0.4 // a server is full when the wait there passes this part of the shortest aim
+	leastOut    = 2.0 // but not below this many attempts out
+	pressedFor  = 200 * time.Millisecond
 	holdAim     = 0.5             // a request is held for this part of its aim
 	learn       = 0.1             // weight of a new latency or error in a server's averages
 	errorLimit  = 0.35            // error average that ejects a server
@@ -268,7 +269,10 @@
 	c.rate += ev.Units
 	c.asked += uint16(ev.Units)
 	c.fresh = repeatTicks
-	if !g.within(r) {
+	// While requests wait for servers, a client's repeat would be served late in
+	// the place of one that can still be in time. Guards against retry storms;
+	// it could harm where repeats come soon and aims are long.
+	if !g.within(r) || ev.Retry && g.pressed() {
 		g.refuse(r)
 		return
 	}
@@ -286,6 +290,9 @@
 	g.hold(r)
 }
 
+// pressed tells whether a request lacked a server in the last moment.
+func (g *Gateway) pressed() bool { return g.lackAt > 0 && g.now-g.lackAt < pressedFor }
+
 // within tells whether quota and ceiling have the request's units.
 func (g *Gateway) within(r *request) bool {
 	c := r.c
@@ -319,6 +326,7 @@
 func (g *Gateway) try(r *request) bool {
 	s := g.pick(r)
 	if s == nil {
+		g.lackAt = g.now
 		return false
 	}
 	c := r.c
@@ -380,6 +388,9 @@
 			lack := r.units - g.allowance(c)
 			after = time.Duration(max(lack, 0) / (c.plan.Rate * g.share(c)) * float64(time.Second))
 		}
+		if g.pressed() {
+			after = g.set.MaxRetryAfter
+		}
 		g.do(Refuse{ID: r.id, RetryAfter: min(after, g.set.MaxRetryAfter)})
 	}
 	g.close(r)
--- a/policy/state.go
+++ b/policy/state.go
@@ -122,7 +122,8 @@
 	fleet     []*server
 	peers     []*peer
 	budget    float64
-	sendRate  float64 // own sends to warm servers, decayed over FallTime
+	lackAt    time.Duration // when a request last found no server with room
+	sendRate  float64       // own sends to warm servers, decayed over FallTime
 	acts      []Action
 	asked     bool
 	loadCols  []int
