Report the most urgent first; learn latency against the fleet's mean

Cause: a report holds some 15 customers, many more have news, and each change was told three times. Change: reports name the most units not yet told first, carry the demand rate in a byte, and what an unnamed peer may have passed since is kept back. The latency average could starve an untried server; it is learned against the fleet's mean now and wears off.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,7 @@
 	minTick     = 25 * time.Millisecond  // tick bounds
 	maxTick     = 250 * time.Millisecond //
 	staleTicks  = 6                      // a report older than this gives way to the demand split
-	forgetAfter = 4 * time.Second        // how fast a silent peer's demand is forgotten
+	forgetAfter = 10 * time.Second       // how fast a silent peer's demand is forgotten
 	demandSpan  = 2 * time.Second        // memory of the demand rates
 	blindExtra  = 25 * time.Millisecond  // time a report travels
 	repeatTicks = 3                      // a change is told in this many reports
@@ -34,10 +34,11 @@
 	waitAim     = 0.4 // a server is full when the wait there passes this part of the shortest aim
 	leastOut    = 2.0 // but not below this many attempts out
 	pressedFor  = 200 * time.Millisecond
-	holdAim     = 0.5             // a request is held for this part of its aim
-	learn       = 0.1             // weight of a new latency or error in a server's averages
-	errorLimit  = 0.35            // error average that ejects a server
-	ejectShare  = 0.34            // at most this share of the fleet is ejected
+	holdAim     = 0.5  // a request is held for this part of its aim
+	learn       = 0.1  // weight of a new latency or error in a server's averages
+	errorLimit  = 0.35 // error average that ejects a server
+	ejectShare  = 0.34 // at most this share of the fleet is ejected
+	slowSpan    = 10 * time.Second
 	ghostLife   = 6 * time.Second // given-up work is taken to be done by then
 	minEject    = time.Second
 	maxEject    = 8 * time.Second
@@ -158,13 +159,13 @@
 		return
 	}
 	c.at = g.now
-	silent := 0.0
+	unheard := 0.0
 	for _, v := range c.set {
-		if g.stale(v) {
-			silent += g.weight(v)
+		if g.silent(v.p) {
+			unheard += g.weight(c, v)
 		}
 	}
-	share := 1 - silent/(g.demand(c))
+	share := 1 - unheard/g.demand(c)
 	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
 	c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+c.plan.HardRate/c.n*dt)
 	k := math.Exp(-dt / demandSpan.Seconds())
@@ -177,29 +178,29 @@
 	}
 }
 
-func (g *Gateway) stale(v *peerView) bool {
-	return !v.p.heard || g.now-v.p.at > staleTicks*g.tick
-}
+// silent tells whether a peer's counts are too old to be used.
+func (g *Gateway) silent(p *peer) bool { return !p.heard || g.now-p.at > staleTicks*g.tick }
 
 // even is the demand taken for granted at each gateway, so that a fresh
 // customer's split is even.
 func (g *Gateway) even(c *customer) float64 { return 0.02*c.plan.Rate + 0.05 }
 
-// weight is a peer's demand in the demand split. A silent peer keeps its last
-// one for a while, then lets go: it may be cut off, or dead for good.
-func (g *Gateway) weight(v *peerView) float64 {
+// weight is a peer's demand in the demand split. One not heard for long counts
+// as much as this gateway, then less and less: it may be cut off and passing
+// its part, or dead for good. A lasting cut lets both sides grow too large.
+func (g *Gateway) weight(c *customer, v *peerView) float64 {
 	w := v.rate
-	if c := v; g.stale(v) && v.p.heard {
-		w = c.rate
+	if g.silent(v.p) && v.p.heard {
+		w = max(w, c.rate) * math.Exp(-(g.now-v.p.at).Seconds()/forgetAfter.Seconds())
 	}
-	return w / demandSpan.Seconds()
+	return w/demandSpan.Seconds() + g.even(c)
 }
 
 // demand is all gateways' demand in units a second, this one's included.
 func (g *Gateway) demand(c *customer) float64 {
 	sum := c.rate/demandSpan.Seconds() + g.even(c)
 	for _, v := range c.set {
-		sum += g.weight(v) + g.even(c)
+		sum += g.weight(c, v)
 	}
 	return sum
 }
@@ -215,7 +216,11 @@
 	blind := (g.tick + blindExtra).Seconds()
 	unseen := 0.0
 	for _, v := range c.set {
-		unseen += g.weight(v) * blind
+		wait := blind
+		if !v.p.complete {
+			wait += min(g.now-v.at, staleTicks*g.tick).Seconds()
+		}
+		unseen += g.weight(c, v) * wait
 	}
 	return max(c.store*g.share(c), c.store-unseen)
 }
@@ -224,8 +229,8 @@
 // peer's count gives way to its demand-split part of the cap.
 func (g *Gateway) others(c *customer) (out, held float64) {
 	for _, v := range c.set {
-		if g.stale(v) {
-			out += float64(c.plan.Open) * g.weight(v) / g.demand(c)
+		if g.silent(v.p) {
+			out += float64(c.plan.Open) * g.weight(c, v) / g.demand(c)
 			continue
 		}
 		out += v.out
@@ -262,12 +267,11 @@
 	g.advance(c)
 	cl := g.classes[ev.Class]
 	if cl == nil {
-		cl = &class{Class: Class{Name: ev.Class, Aim: ev.Remaining, Effect: Unsafe}, mean: ev.Remaining.Seconds() / 8}
+		cl = &class{Class: Class{Aim: ev.Remaining, Effect: Unsafe}, mean: ev.Remaining.Seconds() / 8}
 	}
 	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now, deadline: g.now + ev.Remaining}
 	g.reqs[r.id] = r
 	c.rate += ev.Units
-	c.asked += uint16(ev.Units)
 	c.fresh = repeatTicks
 	// While requests wait for servers, a client's repeat would be served late in
 	// the place of one that can still be in time. Guards against retry storms;
@@ -456,7 +460,9 @@
 		return
 	}
 	rest := slices.Clone(g.waiting)
-	slices.SortStableFunc(rest, func(a, b *customer) int { return cmp.Compare(a.held[0].arrived, b.held[0].arrived) })
+	slices.SortStableFunc(rest, func(a, b *customer) int {
+		return cmp.Compare(a.held[0].arrived, b.held[0].arrived)
+	})
 	for _, w := range rest {
 		if w != c && !g.drain(w, 1) {
 			return
@@ -552,8 +558,8 @@
 // wait there would pass a share of the shortest aim. Beyond that requests are
 // held here, where they can still go elsewhere or be refused.
 func (g *Gateway) full(s *server) bool {
-	load := g.load(s)
-	return load >= leastOut*g.sizeOf(s) && g.mean*s.slow/g.coldness(s)*queueWeight*load/g.sizeOf(s) > waitAim*g.minAim
+	load := g.load(s) / g.sizeOf(s)
+	return load >= leastOut && g.mean*s.slow/g.coldness(s)*queueWeight*load > waitAim*g.minAim
 }
 
 // usable tells whether a request may go to a server at all: running, not
@@ -638,7 +644,7 @@
 		s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
 		g.mean += learn * 0.3 * (r.cl.mean - g.mean)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return t < r.sentAt })
-		r.cl.mean += learn * 0.3 * (min(lat/max(s.slow, 0.3), 4*r.cl.mean) - r.cl.mean)
+		r.cl.mean += learn * 0.3 * (min(lat, 4*r.cl.mean) - r.cl.mean)
 		if s.bad {
 			if s.trials++; s.trials >= 2 {
 				s.bad, s.errs, s.wait = false, 0, max(minEject, s.wait/2)
@@ -655,7 +661,8 @@
 		// The work may still run, ahead of what is sent later, until a later
 		// attempt ends. Silence tells hung servers from slow ones, not this.
 		s.ghosts = append(s.ghosts, r.sentAt)
-		s.slow += learn * (min(max(ev.Latency.Seconds()/r.cl.mean/(1+queueWeight*r.load/g.sizeOf(s)), s.slow), 12) - s.slow)
+		seen := ev.Latency.Seconds() / r.cl.mean / (1 + queueWeight*r.load/g.sizeOf(s))
+		s.slow += learn * (min(max(seen, s.slow), 12) - s.slow)
 		return
 	default:
 		failed = 1
@@ -742,6 +749,8 @@
 	g.sumLoads()
 	for _, s := range g.fleet {
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return g.now-t > ghostLife })
+		// What is not tried is not learned: an old judgement wears off.
+		s.slow += (1 - s.slow) * min(1, dt.Seconds()/slowSpan.Seconds())
 		g.silence(s)
 	}
 	for _, c := range g.ring {
@@ -788,19 +797,22 @@
 			list = append(list, c)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *customer) int {
-		if d := cmp.Compare(len(b.held)+b.fresh, len(a.held)+a.fresh); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.told, b.told)
-	})
+	// Busiest first: held, and units not told yet, against what may be used at
+	// once; then those not told for longest.
+	for _, c := range list {
+		c.urgency = float64(len(c.held)) + float64(c.passed-c.toldUnits)/(c.plan.Burst+1) +
+			0.01*float64(g.ticks-c.told)
+	}
+	slices.SortStableFunc(list, func(a, b *customer) int { return cmp.Compare(b.urgency, a.urgency) })
 	for _, p := range g.peers {
 		if p.num != g.set.Me {
 			g.do(Tell{To: p.num, Data: g.message(p, list)})
 		}
 	}
 	for _, c := range list {
-		c.fresh = max(0, c.fresh-1)
+		if c.told == g.ticks {
+			c.fresh, c.toldUnits = max(0, c.fresh-1), c.passed
+		}
 	}
 }
 
@@ -824,7 +836,8 @@
 		}
 		g.advance(c)
 		e := entry{hash: c.hash, out: small(c.mean * 8), held: byte(min(len(c.held), maxHeld)),
-			passed: c.passed, asked: c.asked, store: unknownStore}
+			passed: c.passed, store: unknownStore,
+			rate: small(rateScale * math.Log2(1+c.rate/demandSpan.Seconds()))}
 		if c.known && c.plan.Burst > 0 {
 			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
 		}
@@ -845,7 +858,7 @@
 // taken off before it is sent; lost, it is room lost, never room made.
 func (g *Gateway) gift(c *customer, v *peerView) byte {
 	size := c.plan.HardBurst / c.n
-	if v.ceiling < 0 || g.stale(v) || c.ceiling < giftRoom*size || v.ceiling > giftRoom {
+	if v.ceiling < 0 || g.silent(v.p) || c.ceiling < giftRoom*size || v.ceiling > giftRoom {
 		return 0
 	}
 	units := c.plan.HardRate / c.n * g.tick.Seconds()
@@ -868,7 +881,7 @@
 			v.out, v.held = 0, 0
 		}
 	}
-	p.heard, p.inc, p.seq, p.at = true, m.inc, m.seq, g.now
+	p.heard, p.inc, p.seq, p.at, p.complete = true, m.inc, m.seq, g.now, m.complete
 	p.outs = map[uint16]float64{}
 	for _, o := range m.servers {
 		p.outs[o.hash] = float64(o.out) / 4
@@ -886,7 +899,7 @@
 	for _, s := range g.fleet {
 		s.heard = 0
 		for _, p := range g.peers {
-			if p.heard && g.now-p.at <= staleTicks*g.tick {
+			if !g.silent(p) {
 				s.heard += p.outs[s.hash]
 			}
 		}
@@ -902,23 +915,21 @@
 	}
 	g.advance(c)
 	v := c.set[i]
+	v.at, v.rate = g.now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
 	v.out, v.held, v.ceiling = float64(e.out)/8, float64(e.held), -1
 	if e.ceiling {
 		v.ceiling = min(1, float64(e.level)/250)
 	}
 	if v.heard && v.inc != p.inc {
-		v.passed, v.asked = 0, 0
+		v.passed = 0
 	}
 	if v.heard {
 		d := float64(int16(e.passed - v.passed))
 		if d > -8*max(1, g.set.LargestUnits) && d <= c.plan.Burst+10*c.plan.Rate {
 			c.store = min(c.plan.Burst, max(0, c.store-d))
 		}
-		if a := float64(int16(e.asked - v.asked)); a > 0 && a < 2000 {
-			v.rate += a
-		}
 	}
-	v.heard, v.inc, v.passed, v.asked = true, p.inc, e.passed, e.asked
+	v.heard, v.inc, v.passed = true, p.inc, e.passed
 	if !c.known && e.store != unknownStore {
 		c.known = true
 		c.store = min(c.store, float64(e.store)/250*c.plan.Burst)
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,675 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// world drives gateways by hand: it keeps the clock and remembers actions.
+type world struct {
+	t   *testing.T
+	g   *Gateway
+	now time.Duration
+	ids RequestID
+}
+
+func base() Settings {
+	return Settings{Me: 0, Gateways: 2, Zone: "a", Resolution: 2 * ms, MaxAttempts: 5, CanCancel: true,
+		CanTell: true, MailPerSecond: 60, LargestUnits: 4, MaxRetryAfter: 500 * ms,
+		Classes: []Class{
+			{Name: "safe", Aim: 800 * ms, Deadline: 3 * time.Second},
+			{Name: "cell", Aim: 800 * ms, Deadline: 3 * time.Second, Effect: Keyed, Group: GroupCell,
+				Window: 2 * time.Second},
+			{Name: "all", Aim: 800 * ms, Deadline: 3 * time.Second, Effect: Keyed, Window: 2 * time.Second},
+			{Name: "once", Aim: 800 * ms, Deadline: 3 * time.Second, Effect: Unsafe},
+			{Name: "stream", Aim: 800 * ms, Deadline: 3 * time.Second, Stream: true},
+		},
+		Plans: []Plan{
+			{Name: "free"},
+			{Name: "rate", Rate: 10, Burst: 10},
+			{Name: "open", Open: 2},
+			{Name: "hard", HardRate: 10, HardBurst: 20},
+			{Name: "both", Rate: 10, Burst: 10, Open: 2},
+		},
+		AnswerSlack: 8 * ms, ColdShare: 0.2, WarmWithin: 10 * time.Second, FallMultiple: 2,
+		FallTime: time.Second}
+}
+
+func fleet(n int) []Server {
+	var l []Server
+	for i := range n {
+		l = append(l, Server{ID: ServerID(i + 1), Zone: "a", Cell: i / 2, Weight: 1})
+	}
+	return l
+}
+
+func newWorld(t *testing.T, s Settings, servers []Server) *world {
+	t.Helper()
+	g, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, g: g, now: time.Second}
+	w.do(Members{Kind: Remembered, Servers: servers})
+	return w
+}
+
+func (w *world) do(ev Event) []Action { return w.g.Handle(w.now, ev, nil) }
+
+// pass lets time go by, with the gateway's ticks, and returns what was done.
+func (w *world) pass(d time.Duration) (acts []Action) {
+	for end := w.now + d; w.now < end; {
+		w.now += min(w.g.tick, end-w.now)
+		acts = append(acts, w.do(Timer{Token: "tick"})...)
+	}
+	return acts
+}
+
+func (w *world) ask(class, plan, customer string, units float64) (RequestID, []Action) {
+	w.ids++
+	return w.ids, w.do(Request{ID: w.ids, Customer: customer, Plan: plan, Class: class, Units: units,
+		Remaining: 2 * time.Second, Spread: 2})
+}
+
+func of[T Action](acts []Action) (l []T) {
+	for _, a := range acts {
+		if x, ok := a.(T); ok {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+func (w *world) end(s Send, attempt int, code Code) []Action {
+	return w.do(Outcome{ID: s.ID, Attempt: attempt, Server: s.Server, Code: code, Latency: 50 * ms,
+		Over: code == OK})
+}
+
+func (w *world) send(class, plan string) Send {
+	w.t.Helper()
+	_, acts := w.ask(class, plan, "c", 1)
+	s := of[Send](acts)
+	if len(s) != 1 {
+		w.t.Fatalf("want one Send, got %v", acts)
+	}
+	return s[0]
+}
+
+func TestFurtherAttempts(t *testing.T) {
+	const (
+		again = iota
+		refused
+		failed
+	)
+	for _, c := range []struct {
+		class string
+		code  Code
+		want  int
+	}{
+		{"safe", Error, again}, {"safe", TimedOut, again}, {"safe", Moot, refused},
+		{"once", Error, failed}, {"once", TimedOut, failed}, {"once", Full, again},
+		{"once", ConnectFailed, again}, {"once", Reset, failed}, {"once", Moot, refused},
+		{"cell", Error, again}, {"cell", Full, again}, {"all", Reset, again},
+	} {
+		t.Run(fmt.Sprint(c.class, c.code), func(t *testing.T) {
+			w := newWorld(t, base(), fleet(4))
+			s := w.send(c.class, "free")
+			w.now += 20 * ms
+			acts := w.end(s, 0, c.code)
+			sends, ref, fail := of[Send](acts), of[Refuse](acts), of[Fail](acts)
+			got := -1
+			switch {
+			case len(sends) == 1 && len(ref)+len(fail) == 0:
+				got = again
+			case len(ref) == 1 && len(sends)+len(fail) == 0:
+				got = refused
+			case len(fail) == 1 && len(sends)+len(ref) == 0:
+				got = failed
+			}
+			if got != c.want {
+				t.Fatalf("got %v", acts)
+			}
+			if got == again && c.class == "cell" && !c.code.NeverRan() &&
+				(sends[0].Server-1)/2 != (s.Server-1)/2 {
+				t.Fatalf("left the cell: %v then %v", s, sends[0])
+			}
+			if got == again && sends[0].Server == s.Server {
+				t.Fatal("sent to the server that just failed")
+			}
+		})
+	}
+}
+
+func TestKeyedOutsideWindowFails(t *testing.T) {
+	w := newWorld(t, base(), fleet(4))
+	w.ids++
+	acts := w.do(Request{ID: w.ids, Customer: "c", Plan: "free", Class: "cell", Units: 1,
+		Remaining: 5 * time.Second, Spread: 2})
+	s := of[Send](acts)[0]
+	w.now += 2100 * ms
+	acts = w.end(s, 0, Error)
+	if len(of[Fail](acts)) != 1 || len(of[Send](acts))+len(of[Refuse](acts)) != 0 {
+		t.Fatalf("a keyed request past its window was not failed: %v", acts)
+	}
+}
+
+// Every request gets one final answer before its deadline, with servers that
+// answer none, and with no servers at all.
+func TestOneFinalAnswerInTime(t *testing.T) {
+	for _, plan := range []string{"free", "rate", "open", "hard", "both"} {
+		for _, remaining := range []time.Duration{10 * ms, 60 * ms, 300 * ms, 2 * time.Second} {
+			w := newWorld(t, base(), fleet(2))
+			w.pass(time.Second)
+			owed := map[RequestID]time.Duration{}
+			out := map[RequestID]Send{}
+			tries := map[RequestID]int{}
+			var note func(acts []Action)
+			note = func(acts []Action) {
+				for _, a := range acts {
+					switch a := a.(type) {
+					case Send:
+						if _, ok := owed[a.ID]; !ok {
+							t.Fatalf("%v after its final answer", a)
+						}
+						if _, two := out[a.ID]; two {
+							t.Fatalf("two attempts out: %v", a)
+						}
+						out[a.ID] = a
+						tries[a.ID]++
+					case Cancel:
+						s := out[a.ID]
+						delete(out, a.ID)
+						note(w.do(Outcome{ID: a.ID, Attempt: a.Attempt, Server: s.Server, Code: Cancelled}))
+					case Refuse, Fail:
+						id := RequestID(reflect.ValueOf(a).FieldByName("ID").Uint())
+						if _, ok := owed[id]; !ok {
+							t.Fatalf("second answer: %v", a)
+						}
+						delete(owed, id)
+					}
+				}
+			}
+			for i := 0; i < 1500; i++ {
+				w.now += 2 * ms
+				if i < 200 && i%4 == 0 {
+					w.ids++
+					owed[w.ids] = w.now + remaining
+					note(w.do(Request{ID: w.ids, Customer: "c", Plan: plan, Class: "safe", Units: 1,
+						Remaining: remaining, Spread: 2}))
+				}
+				if w.now-w.g.lastTick >= w.g.tick {
+					note(w.do(Timer{Token: "tick"}))
+				}
+				for id := RequestID(1); id <= w.ids; id++ {
+					due, owes := owed[id]
+					s, sent := out[id]
+					if owes && sent && w.now >= due {
+						delete(out, id)
+						note(w.do(Outcome{ID: id, Attempt: tries[id] - 1, Server: s.Server, Code: TimedOut}))
+					}
+					if _, still := owed[id]; still && w.now > due+8*ms {
+						t.Fatalf("%s, %v: request %d has no answer in its time", plan, remaining, id)
+					}
+				}
+			}
+			if len(owed) > 0 {
+				t.Fatalf("%d requests never answered", len(owed))
+			}
+		}
+	}
+}
+
+func TestNothingNewToDrainingOrGone(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ev   Members
+	}{
+		{"draining", Members{Kind: Changes, Servers: []Server{{ID: 1, State: Draining}}}},
+		{"removed", Members{Kind: Changes, Servers: []Server{{ID: 1, State: Removed}}}},
+		{"not in the whole list", Members{Kind: Whole, Servers: fleet(4)[1:]}},
+	} {
+		w := newWorld(t, base(), fleet(4))
+		w.do(c.ev)
+		for range 100 {
+			s := w.send("safe", "free")
+			if s.Server == 1 {
+				t.Fatalf("%s: sent", c.name)
+			}
+			w.now += 30 * ms
+			w.end(s, 0, OK)
+		}
+	}
+}
+
+func TestColdServerBudget(t *testing.T) {
+	servers := fleet(4)
+	servers[0].HasStart, servers[0].Start = true, time.Second
+	w := newWorld(t, base(), servers)
+	cold, warm := 0, 0
+	for range 100 {
+		w.now += 10 * ms
+		if s := w.send("safe", "free"); s.Server == 1 {
+			cold++
+		} else {
+			warm++
+			w.end(s, 0, OK)
+		}
+	}
+	if each := float64(warm) / 3; float64(cold) > 0.2*2*each {
+		t.Fatalf("%d to the cold server, %d to the others", cold, warm)
+	}
+}
+
+// The sum of the gateways' parts never passes the ceiling, whatever is asked
+// and however often they restart.
+func TestCeilingHoldsOverRestarts(t *testing.T) {
+	s := base()
+	level, worst := 20.0, 20.0
+	var gs [2]*world
+	for i := range gs {
+		s.Me = i
+		gs[i] = newWorld(t, s, fleet(8))
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 3000 {
+		level = min(20, level+10*0.004)
+		for k, w := range gs {
+			w.now += 4 * ms
+			if i == 1600+200*k || i == 2300+150*k {
+				s.Me = k
+				n := newWorld(t, s, fleet(8))
+				n.now, n.ids = w.now, w.ids
+				g, _ := New(s, uint64(i))
+				n.g = g
+				n.do(Members{Kind: Remembered, Servers: fleet(8)})
+				gs[k], w = n, n
+			}
+			var acts []Action
+			if i > 1000 && (rng.IntN(2) == k || i%1000 < 300) {
+				_, acts = w.ask("safe", "hard", "c", 1)
+				for _, x := range of[Send](acts) {
+					level--
+					w.end(x, 0, OK)
+				}
+			}
+			if w.now-w.g.lastTick >= w.g.tick {
+				for _, tell := range of[Tell](w.do(Timer{Token: "tick"})) {
+					if rng.IntN(5) > 0 {
+						gs[tell.To].do(PeerMessage{From: k, Data: tell.Data})
+					}
+				}
+			}
+		}
+		worst = min(worst, level)
+	}
+	if worst < 0 {
+		t.Fatalf("the ceiling's store fell to %.1f", worst)
+	}
+	if worst > 12 {
+		t.Fatalf("the store never fell below %.1f: the test asks for too little", worst)
+	}
+}
+
+// hear gives a gateway a peer's report.
+func (w *world) hear(from int, inc, seq uint32, complete bool, entries ...entry) {
+	m := report{inc: inc, seq: seq, complete: complete, customers: entries}
+	w.do(PeerMessage{From: from, Data: m.encode()})
+}
+
+func hashOf(name string) uint32 {
+	w := &Gateway{customers: map[string]*customer{}, byHash: map[uint32]*customer{}, plans: map[string]*Plan{}}
+	return w.customer(&Request{Customer: name}).hash
+}
+
+func TestHoldsBeyondTheCapInOrder(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	var sent []Send
+	for range 4 {
+		_, acts := w.ask("safe", "open", "c", 1)
+		sent = append(sent, of[Send](acts)...)
+		w.now += ms
+	}
+	w.hear(1, 1, 1, true)
+	sent = append(sent, of[Send](w.pass(60*ms))...)
+	if len(sent) != 2 {
+		t.Fatalf("%d attempts out under a cap of 2", len(sent))
+	}
+	w.hear(1, 1, 2, true)
+	next := of[Send](w.end(sent[0], 0, OK))
+	if len(next) != 1 || next[0].ID != 3 {
+		t.Fatalf("the oldest held was not released: %v", next)
+	}
+}
+
+func TestPeersAttemptsFillTheCap(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	s := w.send("safe", "open")
+	w.end(s, 0, OK)
+	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), out: 16, store: unknownStore})
+	if _, acts := w.ask("safe", "open", "c", 1); len(acts) != 0 {
+		t.Fatalf("the peer has 2 out under a cap of 2, yet %v", acts)
+	}
+	w.hear(1, 1, 2, true)
+	if got := of[Send](w.pass(100 * ms)); len(got) != 1 {
+		t.Fatalf("the peer has none out, yet %v", got)
+	}
+}
+
+// spend asks for n requests of one unit and counts those passed.
+func (w *world) spend(n int, plan string) int {
+	passed := 0
+	for range n {
+		_, acts := w.ask("safe", plan, "c", 1)
+		for _, s := range of[Send](acts) {
+			passed++
+			w.end(s, 0, OK)
+		}
+	}
+	return passed
+}
+
+func TestQuotaBoundsWhatPasses(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	w.hear(1, 1, 1, true)
+	if n := w.spend(40, "rate"); n < 5 || n > 10 {
+		t.Fatalf("%d units passed of a store of 10", n)
+	}
+}
+
+func TestHeardUnitsAreTakenOff(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(w *world)
+		most int
+	}{
+		{"told", func(w *world) {
+			w.hear(1, 1, 2, true, entry{hash: hashOf("c"), passed: 8, store: unknownStore})
+		}, 2},
+		{"repeated", func(w *world) {
+			for range 3 {
+				w.hear(1, 1, 2, true, entry{hash: hashOf("c"), passed: 4, store: unknownStore})
+			}
+		}, 6},
+		{"lost, then told", func(w *world) {
+			w.hear(1, 1, 9, true, entry{hash: hashOf("c"), passed: 8, store: unknownStore})
+			w.hear(1, 1, 3, true, entry{hash: hashOf("c"), passed: 4, store: unknownStore})
+		}, 2},
+		{"restarted", func(w *world) {
+			w.hear(1, 2, 1, true, entry{hash: hashOf("c"), passed: 8, store: unknownStore})
+		}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, base(), fleet(8))
+			w.spend(1, "rate")
+			w.pass(600 * ms)
+			w.hear(1, 1, 1, true, entry{hash: hashOf("c"), store: unknownStore})
+			c.tell(w)
+			if n := w.spend(30, "rate"); n > c.most || n == 0 && c.most > 3 {
+				t.Fatalf("%d units passed, at most %d are left", n, c.most)
+			}
+		})
+	}
+}
+
+func TestRestartAdoptsPeersStore(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	w.spend(1, "rate")
+	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), passed: 500, store: 25})
+	if n := w.spend(20, "rate"); n > 1 {
+		t.Fatalf("%d units passed though a peer knows of one", n)
+	}
+}
+
+func TestSilentPeerNeitherFreesNorBlocks(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	w.spend(1, "open")
+	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), out: 16, held: 3, store: unknownStore})
+	w.pass(3 * time.Second)
+	if n := w.spend(1, "open"); n != 1 {
+		t.Fatal("a silent peer's old count blocks the customer")
+	}
+	_, a := w.ask("safe", "open", "c", 1)
+	_, b := w.ask("safe", "open", "c", 1)
+	acts := append(append(a, b...), w.pass(100*ms)...)
+	if n := len(of[Send](acts)); n > 1 {
+		t.Fatalf("a silent peer's room was freed: %d out", n)
+	}
+}
+
+func TestFailingServerIsEjectedAndTriedAgain(t *testing.T) {
+	for _, code := range []Code{Error, ConnectFailed, Reset} {
+		w := newWorld(t, base(), fleet(6))
+		to := func(bad bool, n int) (hits int) {
+			for range n {
+				w.pass(25 * ms)
+				s := w.send("safe", "free")
+				for k := 0; ; k++ {
+					hit := s.Server == 1
+					if hit {
+						hits++
+					}
+					if !hit || !bad {
+						w.end(s, k, OK)
+						break
+					}
+					again := of[Send](w.end(s, k, code))
+					if len(again) == 0 {
+						break
+					}
+					s = again[0]
+				}
+			}
+			return hits
+		}
+		to(true, 100)
+		if n := to(true, 400); n > 20 {
+			t.Fatalf("%v: %d of 400 to a failing server", code, n)
+		}
+		to(false, 800)
+		if n := to(false, 400); n < 20 {
+			t.Fatalf("%v: only %d of 400 to a server that is well again", code, n)
+		}
+	}
+}
+
+func TestSharedFailureDoesNotEmptyTheFleet(t *testing.T) {
+	w := newWorld(t, base(), fleet(9))
+	for range 300 {
+		w.now += 25 * ms
+		w.end(w.send("once", "free"), 0, Error)
+	}
+	bad := 0
+	for _, s := range w.g.fleet {
+		if s.bad {
+			bad++
+		}
+	}
+	if bad == 0 || bad > 4 {
+		t.Fatalf("%d of 9 servers ejected", bad)
+	}
+}
+
+func TestHungServerIsLeft(t *testing.T) {
+	w := newWorld(t, base(), fleet(6))
+	called, late := 0, 0
+	for i := range 300 {
+		s := w.send("safe", "free")
+		if s.Server != 1 {
+			w.end(s, 0, OK)
+		} else if i > 150 {
+			late++
+		}
+		for _, a := range w.pass(25 * ms) {
+			if c, ok := a.(Cancel); ok {
+				called++
+				for _, s := range of[Send](w.do(Outcome{ID: c.ID, Attempt: c.Attempt, Code: Cancelled})) {
+					w.end(s, c.Attempt+1, OK)
+				}
+			}
+		}
+	}
+	if called == 0 || late > 6 {
+		t.Fatalf("%d called back, %d sent later on", called, late)
+	}
+}
+
+func TestGivenUpWorkCountsAsLoad(t *testing.T) {
+	w := newWorld(t, base(), fleet(1))
+	sent := 0
+	for range 100 {
+		w.now += 5 * ms
+		_, acts := w.ask("once", "free", "c", 1)
+		for _, s := range of[Send](acts) {
+			sent++
+			w.end(s, 0, TimedOut)
+		}
+	}
+	if sent > 20 {
+		t.Fatalf("%d sent on to a server that ended none", sent)
+	}
+}
+
+func TestRepeatsYieldWhilePressed(t *testing.T) {
+	w := newWorld(t, base(), fleet(1))
+	for range 50 {
+		w.ask("safe", "free", "c", 1)
+	}
+	w.ids++
+	acts := w.do(Request{ID: w.ids, Customer: "c", Plan: "free", Class: "safe", Units: 1,
+		Remaining: 2 * time.Second, Spread: 2, Retry: true})
+	if r := of[Refuse](acts); len(r) != 1 || r[0].RetryAfter != 500*ms {
+		t.Fatalf("got %v", acts)
+	}
+}
+
+func TestStrayInputChangesNothing(t *testing.T) {
+	w := newWorld(t, base(), fleet(3))
+	s := w.send("safe", "free")
+	for _, ev := range []Event{
+		Outcome{ID: 99, Server: 1, Code: OK}, Outcome{ID: s.ID, Attempt: 4, Server: s.Server, Code: Error},
+		Gone{ID: 98}, Timer{Token: "other"}, Started{ID: 97},
+		PeerMessage{From: 1, Data: []byte("rubbish")}, PeerMessage{From: 1}, PeerMessage{From: -3},
+		PeerMessage{From: 55, Data: (&report{}).encode()}, Members{Kind: AskFailed},
+	} {
+		if acts := w.do(ev); len(acts) != 0 {
+			t.Errorf("%#v led to %v", ev, acts)
+		}
+	}
+	w.end(s, 0, OK)
+	if acts := w.end(s, 0, OK); len(acts) != 0 || w.g.fleet[0].out+w.g.fleet[1].out+w.g.fleet[2].out != 0 {
+		t.Errorf("a second outcome led to %v", acts)
+	}
+}
+
+func TestSettledUnitsComeOff(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	w.hear(1, 1, 1, true)
+	s := w.send("safe", "rate")
+	w.do(Outcome{ID: s.ID, Server: s.Server, Code: OK, Over: true, Actual: 9})
+	if n := w.spend(5, "rate"); n > 1 {
+		t.Fatalf("%d more passed after 9 of 10 units were settled", n)
+	}
+}
+
+func TestStreamIsNotCalledBack(t *testing.T) {
+	w := newWorld(t, base(), fleet(1))
+	s := w.send("stream", "free")
+	w.do(Started{ID: s.ID, Server: s.Server})
+	if acts := w.pass(10 * time.Second); len(of[Cancel](acts))+len(of[Fail](acts))+len(of[Refuse](acts)) > 0 {
+		t.Fatal("a begun stream was ended")
+	}
+}
+
+func TestAsksForTheListWhereItMust(t *testing.T) {
+	s := base()
+	s.MustAsk = true
+	g, _ := New(s, 1)
+	w := &world{t: t, g: g, now: time.Second}
+	if n := len(of[Watch](w.do(Members{Kind: Remembered}))); n != 1 {
+		t.Fatalf("%d asks at the start", n)
+	}
+	w.do(Members{Kind: AskFailed})
+	if n := len(of[Watch](w.pass(3 * time.Second))); n != 1 {
+		t.Fatalf("%d asks after a failed one", n)
+	}
+}
+
+func TestNewNamesTheKey(t *testing.T) {
+	for key, spoil := range map[string]func(*Settings){
+		"Resolution":     func(s *Settings) { s.Resolution = 0 },
+		"Plans":          func(s *Settings) { s.Plans = nil },
+		"Plans[1].Name":  func(s *Settings) { s.Plans[1].Name = "" },
+		"Plans[1].Rate":  func(s *Settings) { s.Plans[1].Rate = -1 },
+		"Classes[0].Aim": func(s *Settings) { s.Classes[0].Aim = 0 },
+		"Me":             func(s *Settings) { s.Me = 2 },
+	} {
+		s := base()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), key+":") {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() (all []Action) {
+		w := newWorld(t, base(), fleet(5))
+		for i := range 300 {
+			_, acts := w.ask("safe", []string{"both", "rate", "free"}[i%3], fmt.Sprint(i%7), 1)
+			all = append(all, acts...)
+			for _, s := range of[Send](acts) {
+				all = append(all, w.end(s, 0, Code(i%3))...)
+			}
+			all = append(all, w.pass(20*ms)...)
+		}
+		return all
+	}
+	if !reflect.DeepEqual(run(), run()) {
+		t.Fatal("equal events gave other actions")
+	}
+}
+
+func FuzzPeerMessage(f *testing.F) {
+	f.Add((&report{inc: 1, seq: 2, complete: true, servers: []serverOut{{1, 2}},
+		customers: []entry{{hash: 3, ceiling: true, gift: 4}, {hash: 5}}}).encode())
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		w := newWorld(t, base(), fleet(2))
+		w.ask("safe", "hard", "c", 1)
+		w.do(PeerMessage{From: 1, Data: b})
+		if m, ok := decodeReport(b); ok {
+			if len(b) > maxMessage {
+				t.Fatal("too long")
+			}
+			if m2, ok := decodeReport(m.encode()); !ok || !reflect.DeepEqual(m, m2) {
+				t.Fatal("a report does not survive its own encoding")
+			}
+		}
+	})
+}
+
+func TestModuleKeepsItsLimits(t *testing.T) {
+	b, err := os.ReadFile("policy.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for i, l := range strings.Split(string(b), "\n") {
+		if strings.TrimSpace(l) != "" {
+			n++
+		}
+		if len([]rune(strings.ReplaceAll(l, "\t", "    "))) > 110 {
+			t.Errorf("line %d is longer than 110 characters", i+1)
+		}
+	}
+	if n > 850 {
+		t.Errorf("%d non-blank lines, 850 at most", n)
+	}
+}
--- a/policy/report.go
+++ b/policy/report.go
@@ -24,7 +24,7 @@
 	out     byte   // mean attempts out over the tick, in eighths
 	held    byte   // up to maxHeld
 	passed  uint16 // running total of units passed
-	asked   uint16 // running total of units asked for
+	rate    byte   // units asked for a second: rateScale * log2(1 + rate)
 	store   byte   // estimate of the store, 250 full
 	ceiling bool   // whether level and gift are there
 	level   byte   // filling of the ceiling's own part, 250 full
@@ -41,7 +41,8 @@
 	maxMessage    = 256
 	headerSize    = 11
 	serverSize    = 3
-	entrySize     = 11
+	entrySize     = 10
+	rateScale     = 16
 	ceilingSize   = 2
 )
 
@@ -73,8 +74,7 @@
 		b = binary.BigEndian.AppendUint32(b, e.hash)
 		b = append(b, e.out, held)
 		b = binary.BigEndian.AppendUint16(b, e.passed)
-		b = binary.BigEndian.AppendUint16(b, e.asked)
-		b = append(b, e.store)
+		b = append(b, e.rate, e.store)
 		if e.ceiling {
 			b = append(b, e.level, e.gift)
 		}
@@ -103,7 +103,7 @@
 			return m, false
 		}
 		e := entry{hash: binary.BigEndian.Uint32(b), out: b[4], held: b[5] & maxHeld,
-			passed: binary.BigEndian.Uint16(b[6:]), asked: binary.BigEndian.Uint16(b[8:]), store: b[10]}
+			passed: binary.BigEndian.Uint16(b[6:]), rate: b[8], store: b[9]}
 		e.ceiling = b[5]&flagCeiling != 0
 		b = b[entrySize:]
 		if e.ceiling {
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,15 +16,16 @@
 	areaAt time.Duration
 	mean   float64
 
-	at      time.Duration // time of the stores below
-	store   float64       // estimate of the quota's store
-	known   bool          // the estimate rests on more than a fresh start
-	ceiling float64       // own hard part of the ceiling
-	passed  uint16        // running totals of units, told to peers
-	asked   uint16
-	rate    float64 // own asked units, decayed over demandSpan
-	fresh   int     // ticks for which a change is still told
-	told    uint32  // tick of the last report
+	at        time.Duration // time of the stores below
+	store     float64       // estimate of the quota's store
+	known     bool          // the estimate rests on more than a fresh start
+	ceiling   float64       // own hard part of the ceiling
+	passed    uint16        // running totals of units, told to peers
+	rate      float64       // own asked units, decayed over demandSpan
+	fresh     int           // ticks for which a change is still told
+	told      uint32        // tick of the last report
+	toldUnits uint16        // passed, as last told
+	urgency   float64       // its place in the report
 }
 
 // peerView is what one other gateway last said of one customer.
@@ -36,19 +37,19 @@
 	out     float64
 	held    float64
 	passed  uint16
-	asked   uint16
 	rate    float64 // asked units, decayed
 	ceiling float64 // filling of its ceiling part, 0 to 1; below 0 unknown
 }
 
 type peer struct {
-	num   int
-	inc   uint32
-	seq   uint32
-	at    time.Duration
-	heard bool
-	outs  map[uint16]float64 // attempts out by server
-	views []*peerView        // what it said of each customer
+	num      int
+	inc      uint32
+	seq      uint32
+	at       time.Duration
+	heard    bool
+	complete bool               // its last report named all customers with news
+	outs     map[uint16]float64 // attempts out by server
+	views    []*peerView        // what it said of each customer
 }
 
 type request struct {
