--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,7 +13,6 @@
 	"cmp"
 	"hash/fnv"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -35,6 +34,7 @@
 	leastOut    = 2.0 // but not below this many attempts out
 	pressedFor  = 200 * time.Millisecond
 	holdAim     = 0.5  // a request is held for this part of its aim
+	firstGuess  = 8.0  // a request's first guessed latency is its aim over this
 	learn       = 0.1  // weight of a new latency or error in a server's averages
 	errorLimit  = 0.35 // error average that ejects a server
 	ejectShare  = 0.34 // at most this share of the fleet is ejected
@@ -54,31 +54,15 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
-		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{},
-		budget: retryCap}
-	g.mean = s.Classes[0].Aim.Seconds() / 8
-	g.minAim = math.Inf(1)
-	for _, p := range s.Plans {
-		g.plans[p.Name] = &p
+	g := newGateway(s, seed)
+	g.budget, g.minAim = retryCap, math.Inf(1)
+	for _, c := range g.set.Classes {
+		g.classes[c.Name].mean = c.Aim.Seconds() / firstGuess
+		g.mean, g.minAim = g.classes[c.Name].mean, min(g.minAim, c.Aim.Seconds())
 	}
-	for _, c := range s.Classes {
-		g.classes[c.Name] = &class{Class: c, mean: c.Aim.Seconds() / 8}
-		g.minAim = min(g.minAim, c.Aim.Seconds())
-	}
-	g.inc = g.rng.Uint32()
 	mail := max(s.MailPerSecond*mailShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
 	g.tick = max(min(max(g.tick, minTick), maxTick), s.Resolution)
-	for i := range s.Gateways {
-		g.peers = append(g.peers, &peer{num: i})
-	}
-	for i, name := range s.ReportNames {
-		if name == LoadActive || name == LoadWaiting {
-			g.loadCols = append(g.loadCols, i)
-		}
-	}
 	return g, nil
 }
 
@@ -120,8 +104,6 @@
 	return out
 }
 
-func (g *Gateway) do(a Action) { g.acts = append(g.acts, a) }
-
 // Customers, their stores and their room.
 
 func (g *Gateway) customer(r *Request) *customer {
@@ -254,12 +236,6 @@
 	return next <= free+0.25
 }
 
-func (c *customer) count(now time.Duration, d int) {
-	c.area += float64(c.out) * (now - c.areaAt).Seconds()
-	c.areaAt = now
-	c.out += d
-}
-
 // Requests.
 
 func (g *Gateway) onRequest(ev Request) {
@@ -267,9 +243,10 @@
 	g.advance(c)
 	cl := g.classes[ev.Class]
 	if cl == nil {
-		cl = &class{Class: Class{Aim: ev.Remaining, Effect: Unsafe}, mean: ev.Remaining.Seconds() / 8}
+		cl = &class{Class: Class{Aim: ev.Remaining, Effect: Unsafe}, mean: g.mean}
 	}
-	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now, deadline: g.now + ev.Remaining}
+	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now}
+	r.deadline = g.now + ev.Remaining
 	g.reqs[r.id] = r
 	c.rate += ev.Units
 	c.fresh = repeatTicks
@@ -374,14 +351,6 @@
 	}
 }
 
-func (g *Gateway) unhold(c *customer, i int) {
-	c.held = slices.Delete(c.held, i, i+1)
-	c.fresh = repeatTicks
-	if len(c.held) == 0 {
-		g.waiting = slices.DeleteFunc(g.waiting, func(w *customer) bool { return w == c })
-	}
-}
-
 // refuse gives the final answer: a refusal where a retry is harmless.
 func (g *Gateway) refuse(r *request) {
 	if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
@@ -546,14 +515,6 @@
 	return cl.mean * s.slow * (1 + queueWeight*g.load(s)/g.sizeOf(s)) / g.coldness(s)
 }
 
-// size is a server's size against the fleet's mean, where the list tells it.
-func (g *Gateway) sizeOf(s *server) float64 {
-	if g.set.SizeKnown && s.Weight > 0 && g.size > 0 {
-		return s.Weight / g.size
-	}
-	return 1
-}
-
 // full tells whether a server has all the work it can turn round in time: the
 // wait there would pass a share of the shortest aim. Beyond that requests are
 // held here, where they can still go elsewhere or be refused.
@@ -615,7 +576,7 @@
 		if g.full(s) {
 			continue
 		}
-		p := g.predict(s, r.cl)
+		p := g.predict(s, r.cl) * (0.9 + 0.2*g.rng.Float64())
 		k++
 		if s.Zone != g.set.Zone {
 			p += r.cl.mean * g.set.CrossZoneCost * 25
@@ -682,15 +643,7 @@
 // One that cannot be reached is no slow one and is not held to the share.
 func (g *Gateway) eject(s *server, unreachable bool) {
 	if !s.bad {
-		bad, all := 0, 0
-		for _, o := range g.fleet {
-			if o.State == Running {
-				all++
-				if o.bad && !o.dead {
-					bad++
-				}
-			}
-		}
+		bad, all := g.ejected()
 		if !unreachable && float64(bad+1) > max(1, ejectShare*float64(all)) {
 			return
 		}
@@ -851,8 +804,6 @@
 	return m.encode()
 }
 
-func small(v float64) byte { return byte(min(math.Round(v), 255)) }
-
 // gift takes units of the ceiling's own part for a peer that has less: at
 // most what one tick refills, so that what is in flight stays small. It is
 // taken off before it is sent; lost, it is room lost, never room made.
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,7 +1,9 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -132,3 +134,66 @@
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
 }
+
+func (g *Gateway) do(a Action) { g.acts = append(g.acts, a) }
+
+func (c *customer) count(now time.Duration, d int) {
+	c.area += float64(c.out) * (now - c.areaAt).Seconds()
+	c.areaAt = now
+	c.out += d
+}
+
+// unhold takes the i-th request out of its customer's queue.
+func (g *Gateway) unhold(c *customer, i int) {
+	c.held = slices.Delete(c.held, i, i+1)
+	c.fresh = repeatTicks
+	if len(c.held) == 0 {
+		g.waiting = slices.DeleteFunc(g.waiting, func(w *customer) bool { return w == c })
+	}
+}
+
+func small(v float64) byte { return byte(min(math.Round(v), 255)) }
+
+// size is a server's size against the fleet's mean, where the list tells it.
+func (g *Gateway) sizeOf(s *server) float64 {
+	if g.set.SizeKnown && s.Weight > 0 && g.size > 0 {
+		return s.Weight / g.size
+	}
+	return 1
+}
+
+// newGateway returns a gateway with empty tables.
+func newGateway(s Settings, seed uint64) *Gateway {
+	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
+		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{}}
+	g.inc = g.rng.Uint32()
+	for _, p := range s.Plans {
+		g.plans[p.Name] = &p
+	}
+	for _, c := range s.Classes {
+		g.classes[c.Name] = &class{Class: c}
+	}
+	for i := range s.Gateways {
+		g.peers = append(g.peers, &peer{num: i})
+	}
+	for i, name := range s.ReportNames {
+		if name == LoadActive || name == LoadWaiting {
+			g.loadCols = append(g.loadCols, i)
+		}
+	}
+	return g
+}
+
+// ejected counts the running servers, and those of them ejected as slow or failing.
+func (g *Gateway) ejected() (bad, all int) {
+	for _, s := range g.fleet {
+		if s.State == Running {
+			all++
+			if s.bad && !s.dead {
+				bad++
+			}
+		}
+	}
+	return bad, all
+}
