--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	blindExtra  = 25 * time.Millisecond  // time a report travels
 	repeatTicks = 3                      // a change is told in this many reports
 
+	choices     = 4   // servers compared for an attempt
 	queueWeight = 0.5 // what each attempt out adds to a server's latency, in service times
 	waitAim     = 0.4 // a server is full when the wait there passes this part of the shortest aim
 	leastOut    = 2.0 // but not below this many attempts out
@@ -569,7 +570,7 @@
 	}
 	var best *server
 	low := math.Inf(1)
-	for k := 0; k < 2 && len(ok) > 0; {
+	for k := 0; k < choices && len(ok) > 0; {
 		i := g.rng.IntN(len(ok))
 		s := ok[i]
 		ok = slices.Delete(ok, i, i+1)
