An adaptive cap on a gateway's attempts out

Cause: reports come a few times a second there, so each adds its own attempts to servers it believes idle. Change: the cap shrinks while the mean of latency over aim passes 0.4 and grows below it. Guards against any load it is not told of; could harm where aims are near the latency of idle servers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,10 +29,13 @@
 	blindExtra  = 25 * time.Millisecond  // time a report travels
 	repeatTicks = 3                      // a change is told in this many reports
 
-	choices     = 4   // servers compared for an attempt
-	queueWeight = 0.5 // what each attempt out adds to a server's latency, in service times
-	waitAim     = 0.4 // a server is full when the wait there passes this part of the shortest aim
-	leastOut    = 2.0 // but not below this many attempts out
+	strainAim   = 0.4  // mean latency over aim above which this gateway takes back its attempts
+	strainCut   = 0.02 // by this part at each outcome
+	strainGrow  = 0.1  // and below which it adds this much
+	choices     = 2    // servers compared for an attempt
+	queueWeight = 0.5  // what each attempt out adds to a server's latency, in service times
+	waitAim     = 0.4  // a server is full when the wait there passes this part of the shortest aim
+	leastOut    = 2.0  // but not below this many attempts out
 	pressedFor  = 200 * time.Millisecond
 	holdAim     = 0.5  // a request is held for this part of its aim
 	firstGuess  = 8.0  // a request's first guessed latency is its aim over this
@@ -56,7 +59,7 @@
 		return nil, err
 	}
 	g := newGateway(s, seed)
-	g.budget, g.minAim = retryCap, math.Inf(1)
+	g.budget, g.limit, g.minAim = retryCap, math.Inf(1), math.Inf(1)
 	for _, c := range g.set.Classes {
 		g.classes[c.Name].mean = c.Aim.Seconds() / firstGuess
 		g.mean, g.minAim = g.classes[c.Name].mean, min(g.minAim, c.Aim.Seconds())
@@ -306,7 +309,10 @@
 
 // try sends the request to a server if one has room for it.
 func (g *Gateway) try(r *request) bool {
-	s := g.pick(r)
+	var s *server
+	if float64(g.out) < g.limit {
+		s = g.pick(r)
+	}
 	if s == nil {
 		g.lackAt = g.now
 		return false
@@ -325,6 +331,7 @@
 	r.srv, r.sentAt, r.load, r.quit = s, g.now, g.load(s), false
 	r.attempts++
 	s.out++
+	g.out++
 	s.oldest = append(s.oldest, r)
 	if g.coldness(s) < 1 {
 		s.sends = append(s.sends, g.now)
@@ -380,6 +387,7 @@
 	r.srv = nil
 	r.stream = false
 	s.out--
+	g.out--
 	c.count(g.now, -1)
 	c.fresh = repeatTicks
 	if i := slices.Index(s.oldest, r); i >= 0 {
@@ -410,10 +418,8 @@
 	if g.set.MaxAttempts > 0 && r.attempts >= g.set.MaxAttempts {
 		return false
 	}
-	if r.ran {
-		if r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window {
-			return false
-		}
+	if r.ran && (r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window) {
+		return false
 	}
 	if g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline || g.budget < 1 {
 		return false
@@ -597,10 +603,13 @@
 			s.load += ev.Load[i]
 		}
 	}
-	failed := 0.0
+	if ev.Code == OK || ev.Code == TimedOut {
+		g.adapt(min(1, ev.Latency.Seconds()/r.cl.Aim.Seconds()))
+	}
 	switch ev.Code {
 	case OK:
 		s.okAt = g.now
+		s.errs -= 2 * learn * s.errs
 		base := (1 + queueWeight*r.load/g.sizeOf(s)) / g.coldness(s)
 		lat := ev.Latency.Seconds() / base
 		s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
@@ -627,14 +636,23 @@
 		s.slow += learn * (min(max(seen, s.slow), 12) - s.slow)
 		return
 	default:
-		failed = 1
-	}
-	s.errs += 2 * learn * (failed - s.errs)
-	if ev.Code == ConnectFailed || ev.Code == Reset {
-		s.errs += learn * (1 - s.errs)
+		s.errs += 2 * learn * (1 - s.errs)
+		if s.bad || s.errs > errorLimit {
+			g.eject(s, ev.Code == ConnectFailed)
+		}
 	}
-	if failed > 0 && (s.bad || s.errs > errorLimit) {
-		g.eject(s, ev.Code == ConnectFailed)
+}
+
+// adapt moves the cap on this gateway's attempts out by how near latencies
+// come to their aims. Guards against load it is not told of, on all servers:
+// peers unheard, slow fleets. Harms where aims are near idle latencies.
+func (g *Gateway) adapt(strain float64) {
+	g.strain += learn * 0.5 * (strain - g.strain)
+	least := max(2, float64(len(g.fleet))/float64(g.set.Gateways))
+	if g.strain > strainAim {
+		g.limit = max(least, g.limit*(1-strainCut))
+	} else {
+		g.limit = min(g.limit+strainGrow, max(2*float64(g.out), 4*least))
 	}
 }
 
@@ -846,18 +864,6 @@
 	}
 }
 
-// sumLoads sums the peers' attempts out at each server; old counts are let go.
-func (g *Gateway) sumLoads() {
-	for _, s := range g.fleet {
-		s.heard = 0
-		for _, p := range g.peers {
-			if !g.silent(p) {
-				s.heard += p.outs[s.hash]
-			}
-		}
-	}
-}
-
 // hear takes in what a peer says of a customer. Running totals heal lost
 // reports; a total that jumps oddly (the peer started anew) is a new base.
 func (g *Gateway) hear(c *customer, p *peer, e entry) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -673,3 +673,24 @@
 		t.Errorf("%d non-blank lines, 850 at most", n)
 	}
 }
+
+// Load no report tells of shows in the latencies; the gateway then keeps
+// fewer attempts out over all servers.
+func TestStrainTakesBackAttempts(t *testing.T) {
+	most := func(latency time.Duration) (n int) {
+		w := newWorld(t, base(), fleet(20))
+		for range 200 {
+			s := w.send("safe", "free")
+			w.do(Outcome{ID: s.ID, Server: s.Server, Code: OK, Over: true, Latency: latency})
+		}
+		for range 60 {
+			_, acts := w.ask("safe", "free", "c", 1)
+			n += len(of[Send](acts))
+		}
+		return n
+	}
+	calm, strained := most(50*ms), most(700*ms)
+	if calm < 30 || strained > 15 {
+		t.Fatalf("%d out when calm, %d when strained", calm, strained)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -125,6 +125,9 @@
 	fleet     []*server
 	peers     []*peer
 	budget    float64
+	out       int           // own attempts out, at all servers
+	limit     float64       // most of them
+	strain    float64       // average of latency over aim
 	lackAt    time.Duration // when a request last found no server with room
 	sendRate  float64       // own sends to warm servers, decayed over FallTime
 	acts      []Action
@@ -197,3 +200,15 @@
 	}
 	return bad, all
 }
+
+// sumLoads sums the peers' attempts out at each server; old counts are let go.
+func (g *Gateway) sumLoads() {
+	for _, s := range g.fleet {
+		s.heard = 0
+		for _, p := range g.peers {
+			if !g.silent(p) {
+				s.heard += p.outs[s.hash]
+			}
+		}
+	}
+}
