--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	strainAim   = 0.4  // mean latency over aim above which this gateway takes back its attempts
 	strainCut   = 0.02 // by this part at each outcome
 	strainGrow  = 0.1  // and below which it adds this much
-	choices     = 2    // servers compared for an attempt
+	choices     = 4    // servers compared for an attempt
 	queueWeight = 0.5  // what each attempt out adds to a server's latency, in service times
 	waitAim     = 0.4  // a server is full when the wait there passes this part of the shortest aim
 	leastOut    = 2.0  // but not below this many attempts out
