--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,7 +118,7 @@
 	}
 	h := fnv.New32a()
 	h.Write([]byte(r.Customer))
-	c := &customer{hash: h.Sum32(), plan: plan, n: 1, at: g.now, areaAt: g.now, store: plan.Burst}
+	c := &customer{hash: h.Sum32() >> 8, plan: plan, n: 1, at: g.now, areaAt: g.now, store: plan.Burst}
 	for i := range min(r.Spread, g.set.Gateways) {
 		if num := (r.First + i) % g.set.Gateways; num != g.set.Me && num >= 0 {
 			v := &peerView{p: g.peers[num], ceiling: -1}
@@ -480,7 +480,8 @@
 	for _, m := range ev.Servers {
 		s := g.servers[m.ID]
 		if s == nil {
-			s = &server{hash: uint16((uint32(m.ID) * 0x9e3779b1) >> 16), slow: 1, wait: minEject,
+			h := uint32(m.ID) * 0x9e3779b1 >> (32 - serverBits)
+			s = &server{hash: uint16(h), slow: 1, wait: minEject,
 				fullAt: map[*Plan]time.Duration{}}
 			g.servers[m.ID] = s
 			g.fleet = append(g.fleet, s)
@@ -792,7 +793,7 @@
 	m := report{inc: g.inc, seq: g.seq, complete: true}
 	for _, s := range g.fleet {
 		if s.out > 0 && len(m.servers) < maxServers {
-			m.servers = append(m.servers, serverOut{s.hash, small(float64(s.out) * 4)})
+			m.servers = append(m.servers, serverOut{s.hash, byte(min(s.out, maxOut))})
 		}
 	}
 	for _, c := range list {
@@ -805,9 +806,10 @@
 			break
 		}
 		g.advance(c)
-		e := entry{hash: c.hash, out: small(c.mean * 8), held: byte(min(len(c.held), maxHeld)),
-			passed: c.passed, store: unknownStore,
-			rate: small(rateScale * math.Log2(1+c.rate/demandSpan.Seconds()))}
+		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
+			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
+			passed: byte(c.passed), store: unknownStore,
+			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
 		if c.known && c.plan.Burst > 0 {
 			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
 		}
@@ -852,7 +854,7 @@
 	p.heard, p.inc, p.seq, p.at, p.complete = true, m.inc, m.seq, g.now, m.complete
 	p.outs = map[uint16]float64{}
 	for _, o := range m.servers {
-		p.outs[o.hash] = float64(o.out) / 4
+		p.outs[o.hash] = float64(o.out)
 	}
 	g.sumLoads()
 	for _, e := range m.customers {
@@ -872,7 +874,7 @@
 	g.advance(c)
 	v := c.set[i]
 	v.at, v.rate = g.now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
-	v.out, v.held, v.ceiling = float64(e.out)/8, float64(e.held), -1
+	v.out, v.held, v.ceiling = math.Pow(float64(e.out)/outScale, 2), float64(e.held), -1
 	if e.ceiling {
 		v.ceiling = min(1, float64(e.level)/250)
 	}
@@ -880,7 +882,7 @@
 		v.passed = 0
 	}
 	if v.heard {
-		d := float64(int16(e.passed - v.passed))
+		d := float64(int(e.passed-v.passed+64) - 64)
 		if d > -8*max(1, g.set.LargestUnits) && d <= c.plan.Burst+10*c.plan.Rate {
 			c.store = min(c.plan.Burst, max(0, c.store-d))
 		}
--- a/policy/report.go
+++ b/policy/report.go
@@ -12,7 +12,8 @@
 	customers []entry
 }
 
-// serverOut is the sender's attempts out at a server, in quarters.
+// serverOut is the sender's attempts out at a server, up to maxOut; the hash
+// has serverBits bits.
 type serverOut struct {
 	hash uint16
 	out  byte
@@ -20,11 +21,11 @@
 
 // entry is a report's part on one customer.
 type entry struct {
-	hash    uint32
-	out     byte   // mean attempts out over the tick, in eighths
+	hash    uint32 // 24 bits
+	out     byte   // mean attempts out over the tick: outScale times its root, up to 15
 	held    byte   // up to maxHeld
-	passed  uint16 // running total of units passed
-	rate    byte   // units asked for a second: rateScale * log2(1 + rate)
+	passed  byte   // running total of units passed
+	rate    byte   // units asked for a second: rateScale * log2(1 + rate), up to maxRate
 	store   byte   // estimate of the store, 250 full
 	ceiling bool   // whether level and gift are there
 	level   byte   // filling of the ceiling's own part, 250 full
@@ -32,17 +33,21 @@
 }
 
 const (
-	reportVersion = 1
+	reportVersion = 2
 	flagComplete  = 1
 	flagCeiling   = 0x80
-	maxHeld       = 0x7f
-	maxServers    = 30
+	maxRate       = 0x7f
+	maxHeld       = 15
+	maxOut        = 31
+	serverBits    = 11
+	outScale      = 4
+	maxServers    = 36
 	unknownStore  = 255
 	maxMessage    = 256
 	headerSize    = 11
-	serverSize    = 3
-	entrySize     = 10
-	rateScale     = 16
+	serverSize    = 2
+	entrySize     = 7
+	rateScale     = 8
 	ceilingSize   = 2
 )
 
@@ -63,18 +68,14 @@
 	}
 	b = append(b, flags, byte(len(m.servers)))
 	for _, s := range m.servers {
-		b = binary.BigEndian.AppendUint16(b, s.hash)
-		b = append(b, s.out)
+		b = binary.BigEndian.AppendUint16(b, s.hash<<(16-serverBits)|uint16(s.out))
 	}
 	for _, e := range m.customers {
-		held := e.held
+		rate := e.rate
 		if e.ceiling {
-			held |= flagCeiling
+			rate |= flagCeiling
 		}
-		b = binary.BigEndian.AppendUint32(b, e.hash)
-		b = append(b, e.out, held)
-		b = binary.BigEndian.AppendUint16(b, e.passed)
-		b = append(b, e.rate, e.store)
+		b = append(b, byte(e.hash>>16), byte(e.hash>>8), byte(e.hash), e.out<<4|e.held, e.passed, rate, e.store)
 		if e.ceiling {
 			b = append(b, e.level, e.gift)
 		}
@@ -95,16 +96,16 @@
 		return m, false
 	}
 	for range n {
-		m.servers = append(m.servers, serverOut{binary.BigEndian.Uint16(b), b[2]})
+		v := binary.BigEndian.Uint16(b)
+		m.servers = append(m.servers, serverOut{v >> (16 - serverBits), byte(v & maxOut)})
 		b = b[serverSize:]
 	}
 	for len(b) > 0 {
 		if len(b) < entrySize {
 			return m, false
 		}
-		e := entry{hash: binary.BigEndian.Uint32(b), out: b[4], held: b[5] & maxHeld,
-			passed: binary.BigEndian.Uint16(b[6:]), rate: b[8], store: b[9]}
-		e.ceiling = b[5]&flagCeiling != 0
+		e := entry{hash: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), out: b[3] >> 4, held: b[3] & maxHeld,
+			passed: b[4], rate: b[5] & maxRate, ceiling: b[5]&flagCeiling != 0, store: b[6]}
 		b = b[entrySize:]
 		if e.ceiling {
 			if len(b) < ceilingSize {
--- a/policy/state.go
+++ b/policy/state.go
@@ -38,7 +38,7 @@
 	inc     uint32
 	out     float64
 	held    float64
-	passed  uint16
+	passed  byte
 	rate    float64 // asked units, decayed
 	ceiling float64 // filling of its ceiling part, 0 to 1; below 0 unknown
 }
