--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,28 +30,29 @@
 	blindExtra  = 25 * time.Millisecond  // time a report travels
 	repeatTicks = 3                      // a change is told in this many reports
 
-	strainAim   = 0.4  // mean latency over aim above which this gateway takes back its attempts
-	strainCut   = 0.02 // by this part at each outcome
-	strainGrow  = 0.1  // and below which it adds this much
-	choices     = 4    // servers compared for an attempt
-	queueWeight = 0.5  // what each attempt out adds to a server's latency, in service times
-	waitAim     = 0.4  // a server is full when the wait there passes this part of the shortest aim
-	leastOut    = 2.0  // but not below this many attempts out
-	pressedFor  = 200 * time.Millisecond
-	holdAim     = 0.5  // a request is held for this part of its aim
-	firstGuess  = 8.0  // a request's first guessed latency is its aim over this
-	learn       = 0.1  // weight of a new latency or error in a server's averages
-	errorLimit  = 0.35 // error average that ejects a server
-	ejectShare  = 0.34 // at most this share of the fleet is ejected
-	slowSpan    = 10 * time.Second
-	fullFor     = 2 * time.Second
-	ghostLife   = 6 * time.Second // given-up work is taken to be done by then
-	minEject    = time.Second
-	maxEject    = 8 * time.Second
-	retryEarn   = 0.15 // retry budget earned by each first attempt
-	retryCap    = 12.0 // most of it kept
-	coldSafety  = 0.5  // part of the cold budget used
-	giftRoom    = 0.5  // a ceiling part above this share of its size may be given
+	strainAim    = 0.4  // mean latency over aim above which this gateway takes back its attempts
+	strainCut    = 0.02 // by this part at each outcome
+	strainGrow   = 0.1  // and below which it adds this much
+	choices      = 4    // servers compared for an attempt
+	queueWeight  = 0.5  // what each attempt out adds to a server's latency, in service times
+	waitAim      = 0.4  // a server is full when the wait there passes this part of the shortest aim
+	leastOut     = 2.0  // but not below this many attempts out
+	retryReserve = 0.3  // part of the store that clients' repeats leave to first tries
+	pressedFor   = 200 * time.Millisecond
+	holdAim      = 0.5  // a request is held for this part of its aim
+	firstGuess   = 8.0  // a request's first guessed latency is its aim over this
+	learn        = 0.1  // weight of a new latency or error in a server's averages
+	errorLimit   = 0.35 // error average that ejects a server
+	ejectShare   = 0.34 // at most this share of the fleet is ejected
+	slowSpan     = 10 * time.Second
+	fullFor      = 2 * time.Second
+	ghostLife    = 6 * time.Second // given-up work is taken to be done by then
+	minEject     = time.Second
+	maxEject     = 8 * time.Second
+	retryEarn    = 0.15 // retry budget earned by each first attempt
+	retryCap     = 12.0 // most of it kept
+	coldSafety   = 0.5  // part of the cold budget used
+	giftRoom     = 0.5  // a ceiling part above this share of its size may be given
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -165,8 +166,7 @@
 // silent tells whether a peer's counts are too old to be used.
 func (g *Gateway) silent(p *peer) bool { return !p.heard || g.now-p.at > staleTicks*g.tick }
 
-// even is the demand taken for granted at each gateway, so that a fresh
-// customer's split is even.
+// even is the demand taken for granted: a fresh customer's split is even.
 func (g *Gateway) even(c *customer) float64 { return 0.02*c.plan.Rate + 0.05 }
 
 // weight is a peer's demand in the demand split. One not heard for long counts
@@ -253,10 +253,11 @@
 	g.reqs[r.id] = r
 	c.rate += ev.Units
 	c.fresh = repeatTicks
-	// While requests wait for servers, a client's repeat would be served late in
-	// the place of one that can still be in time. Guards against retry storms;
-	// it could harm where repeats come soon and aims are long.
-	if !g.within(r) || ev.Retry && g.pressed() {
+	// A client's repeat is often late. It gives way to first tries while requests
+	// wait for servers or the store is low. Guards against retry storms; harms
+	// where repeats come soon and aims are long.
+	scarce := c.plan.Rate > 0 && g.allowance(c) < r.units+retryReserve*c.plan.Burst
+	if !g.within(r) || ev.Retry && (scarce || g.pressed()) {
 		g.refuse(r)
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -744,3 +744,18 @@
 		t.Fatalf("%d to the server that turns the plan away, %d of another plan", first, others)
 	}
 }
+
+// A low store is left to first tries.
+func TestRepeatsYieldWhenTheStoreIsLow(t *testing.T) {
+	for spent, want := range map[int]int{0: 1, 8: 0} {
+		w := newWorld(t, base(), fleet(8))
+		w.hear(1, 1, 1, true)
+		w.spend(spent, "rate")
+		w.ids++
+		acts := w.do(Request{ID: w.ids, Customer: "c", Plan: "rate", Class: "safe", Units: 1,
+			Remaining: 2 * time.Second, Spread: 2, Retry: true})
+		if n := len(of[Send](acts)); n != want {
+			t.Errorf("%d repeats passed after %d of 10 units, want %d", n, spent, want)
+		}
+	}
+}
