--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	blindExtra  = 25 * time.Millisecond  // time a report travels
 	repeatTicks = 3                      // a change is told in this many reports
 
-	strainAim    = 0.5  // mean latency over aim above which this gateway takes back its attempts
+	strainAim    = 0.4  // mean latency over aim above which this gateway takes back its attempts
 	strainCut    = 0.02 // by this part at each outcome
 	strainGrow   = 0.1  // and below which it adds this much
 	choices      = 4    // servers compared for an attempt
@@ -203,7 +203,7 @@
 	for _, v := range c.set {
 		wait := blind
 		if !v.p.complete {
-			wait += min(g.now-v.at, staleTicks*g.tick).Seconds()
+			wait += min(g.now-v.at, 2*g.tick).Seconds()
 		}
 		unseen += g.weight(c, v) * wait
 	}
