--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	strainGrow   = 0.1  // and below which it adds this much
 	choices      = 4    // servers compared for an attempt
 	queueWeight  = 0.5  // what each attempt out adds to a server's latency, in service times
-	waitAim      = 0.12 // a server is full when the wait there passes this part of the shortest aim
+	waitAim      = 0.15 // a server is full when the wait there passes this part of the shortest aim
 	leastOut     = 2.0  // but not below this many attempts out
 	retryReserve = 0.5  // part of the store that clients' repeats leave to first tries
 	pressedFor   = 200 * time.Millisecond
