--- a/policy/policy.go
+++ b/policy/policy.go
@@ -685,7 +685,7 @@
 		age := (g.now - r.sentAt).Seconds()
 		if s.okAt <= r.sentAt && !r.stream && age > 3*p {
 			old++
-			if age > 6*p {
+			if age > 4*p {
 				old++
 			}
 		}
