--- a/policy/api.go
+++ b/policy/api.go
@@ -113,8 +113,8 @@
 	Class     string
 	Units     float64
 	Remaining time.Duration // until the client gives up this try
-	First     int           // the customer comes in through Spread gateways,
-	Spread    int           // counted round from number First
+	First     int           // the customer comes in through Spread gateways, at least
+	Spread    int           // one, counted round from First; this one is among them
 	Retry     bool          // the client marked it as a repeat
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,39 +20,38 @@
 // Tuned values. None is fitted to a deployment: they are shares, counts of
 // ticks, or times that people and networks set.
 const (
-	mailShare   = 0.75                   // part of a gateway's mail intake that reports may fill
-	minTick     = 25 * time.Millisecond  // tick bounds
-	maxTick     = 250 * time.Millisecond //
-	staleTicks  = 6                      // a report older than this gives way to the demand split
-	forgetAfter = 10 * time.Second       // how fast a silent peer's demand is forgotten
-	leastWeight = 0.33                   // but this part of it is never
-	demandSpan  = 2 * time.Second        // memory of the demand rates
-	blindExtra  = 25 * time.Millisecond  // time a report travels
-	repeatTicks = 3                      // a change is told in this many reports
-
-	strainAim    = 0.4  // mean latency over aim above which this gateway takes back its attempts
-	strainCut    = 0.02 // by this part at each outcome
-	strainGrow   = 0.1  // and below which it adds this much
-	choices      = 4    // servers compared for an attempt
-	queueWeight  = 0.5  // what each attempt out adds to a server's latency, in service times
-	waitAim      = 0.15 // a server is full when the wait there passes this part of the shortest aim
-	leastOut     = 2.0  // but not below this many attempts out
-	retryReserve = 0.5  // part of the store that clients' repeats leave to first tries
-	pressedFor   = 200 * time.Millisecond
-	holdAim      = 0.5  // a request is held for this part of its aim
-	firstGuess   = 8.0  // a request's first guessed latency is its aim over this
-	learn        = 0.1  // weight of a new latency or error in a server's averages
-	errorLimit   = 0.35 // error average that ejects a server
-	ejectShare   = 0.34 // at most this share of the fleet is ejected
-	slowSpan     = 10 * time.Second
-	fullFor      = 2 * time.Second
-	ghostLife    = 6 * time.Second // given-up work is taken to be done by then
-	minEject     = time.Second
-	maxEject     = 8 * time.Second
-	retryEarn    = 0.15 // retry budget earned by each first attempt
-	retryCap     = 12.0 // most of it kept
-	coldSafety   = 0.5  // part of the cold budget used
-	giftRoom     = 0.5  // a ceiling part above this share of its size may be given
+	mailShare        = 0.75 // part of a gateway's mail intake that reports may fill
+	minTick, maxTick = 25 * time.Millisecond, 250 * time.Millisecond
+	staleTicks       = 6                     // a report older than this gives way to the demand split
+	forgetAfter      = 10 * time.Second      // how fast a silent peer's demand is forgotten
+	leastWeight      = 0.33                  // but this part of it is never
+	demandSpan       = 2 * time.Second       // memory of the demand rates
+	blindExtra       = 25 * time.Millisecond // time a report travels
+	repeatTicks      = 3                     // a change is told in this many reports
+
+	strainAim          = 0.4  // mean latency over aim above which this gateway takes back its attempts
+	strainCut          = 0.02 // by this part at each outcome
+	strainGrow         = 0.1  // and below which it adds this much
+	choices            = 4    // servers compared for an attempt
+	queueWeight        = 0.5  // what each attempt out adds to a server's latency, in service times
+	waitAim            = 0.15 // a server is full when the wait there passes this part of the shortest aim
+	leastOut           = 2.0  // but not below this many attempts out
+	retryReserve       = 0.5  // part of the store that clients' repeats leave to first tries
+	pressedFor         = 200 * time.Millisecond
+	holdAim            = 0.5  // a request is held for this part of its aim
+	firstGuess         = 8.0  // a request's first guessed latency is its aim over this
+	learn              = 0.1  // weight of a new latency or error in a server's averages
+	errorLimit         = 0.35 // error average that ejects a server
+	ejectShare         = 0.34 // at most this share of the fleet is ejected
+	slowSpan           = 10 * time.Second
+	fullFor            = 2 * time.Second
+	ghostLife          = 6 * time.Second // given-up work is taken to be done by then
+	minEject, maxEject = time.Second, 8 * time.Second
+	idleAfter          = 10 * time.Minute // a customer not seen for so long is forgotten
+	retryEarn          = 0.15             // retry budget earned by each first attempt
+	retryCap           = 12.0             // most of it kept
+	coldSafety         = 0.5              // part of the cold budget used
+	giftRoom           = 0.5              // a ceiling part above this share of its size may be given
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -119,7 +118,8 @@
 	}
 	h := fnv.New32a()
 	h.Write([]byte(r.Customer))
-	c := &customer{hash: h.Sum32() >> 8, plan: plan, n: 1, at: g.now, areaAt: g.now, store: plan.Burst}
+	c := &customer{name: r.Customer, hash: h.Sum32() >> 8, plan: plan, n: 1, store: plan.Burst}
+	c.at, c.areaAt = g.now, g.now
 	for i := range min(r.Spread, g.set.Gateways) {
 		if num := (r.First + i) % g.set.Gateways; num != g.set.Me && num >= 0 {
 			v := &peerView{p: g.peers[num], ceiling: -1}
@@ -130,8 +130,7 @@
 	// The ceiling's own part starts empty at the gateway's start: after a
 	// restart it must not be granted a second time.
 	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
-	g.customers[r.Customer] = c
-	g.byHash[c.hash] = c
+	g.customers[c.name], g.byHash[c.hash] = c, c
 	g.ring = append(g.ring, c)
 	return c
 }
@@ -250,7 +249,7 @@
 	}
 	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now}
 	r.deadline = g.now + ev.Remaining
-	g.reqs[r.id] = r
+	g.reqs[r.id], c.seen = r, g.now
 	c.rate += ev.Units
 	c.fresh = repeatTicks
 	// A client's repeat is often late. It gives way to first tries while requests
@@ -685,7 +684,7 @@
 		age := (g.now - r.sentAt).Seconds()
 		if s.okAt <= r.sentAt && !r.stream && age > 3*p {
 			old++
-			if age > 4*p {
+			if age > 6*p {
 				old++
 			}
 		}
@@ -714,6 +713,7 @@
 	g.do(SetTimer{Token: "tick", After: g.tick})
 	if g.ticks%uint32(max(1, time.Second/g.tick)) == 0 {
 		g.watch()
+		g.forget(g.now - idleAfter)
 	}
 	if g.set.FallTime > 0 {
 		g.sendRate *= math.Exp(-float64(dt) / float64(g.set.FallTime))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -759,3 +759,21 @@
 		}
 	}
 }
+
+func TestIdleCustomersAreForgotten(t *testing.T) {
+	w := newWorld(t, base(), fleet(2))
+	for i := range 50 {
+		_, acts := w.ask("safe", "rate", fmt.Sprint(i), 1)
+		w.end(of[Send](acts)[0], 0, OK)
+		w.now += 20 * ms
+	}
+	w.pass(9 * time.Minute)
+	w.spend(1, "rate")
+	if n := len(w.g.customers); n != 51 {
+		t.Fatalf("%d customers known, want 51", n)
+	}
+	w.pass(2 * time.Minute)
+	if n := len(w.g.customers) + len(w.g.ring) + len(w.g.byHash) + len(w.g.peers[1].views); n != 4 {
+		t.Fatalf("%d places still name customers, want 4", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -8,13 +8,15 @@
 )
 
 type customer struct {
+	name   string
 	hash   uint32
 	plan   *Plan
 	set    []*peerView // its other gateways
 	n      float64     // its gateways, this one included
 	held   []*request  // waiting, in arrival order
 	out    int
-	area   float64 // integral of out over the tick, for its mean
+	seen   time.Duration // its last request
+	area   float64       // integral of out over the tick, for its mean
 	areaAt time.Duration
 	mean   float64
 
@@ -220,3 +222,26 @@
 		g.do(Watch{})
 	}
 }
+
+// forget drops the customers that have nothing out or held and made no
+// request since a time.
+func (g *Gateway) forget(since time.Duration) {
+	g.ring = slices.DeleteFunc(g.ring, func(c *customer) bool {
+		if c.seen >= since || c.out > 0 || len(c.held) > 0 {
+			return false
+		}
+		if g.byHash[c.hash] == c {
+			delete(g.byHash, c.hash)
+		}
+		for _, v := range c.set {
+			v.p.views = slices.DeleteFunc(v.p.views, func(o *peerView) bool { return o == v })
+		}
+		return true
+	})
+	if len(g.ring) < len(g.customers) {
+		clear(g.customers)
+		for _, c := range g.ring {
+			g.customers[c.name] = c
+		}
+	}
+}
