--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -777,3 +777,52 @@
 		t.Fatalf("%d places still name customers, want 4", n)
 	}
 }
+
+// With the warm servers full, the cold one still gets no more than its budget.
+func TestColdBudgetHoldsUnderLoad(t *testing.T) {
+	servers := fleet(4)
+	servers[0].HasStart, servers[0].Start = true, time.Second
+	w := newWorld(t, base(), servers)
+	cold := 0
+	for range 60 {
+		w.now += 10 * ms
+		_, acts := w.ask("once", "free", "c", 1)
+		for len(acts) > 0 {
+			s, more := acts[0], []Action(nil)
+			if s, ok := s.(Send); ok && s.Server == 1 {
+				cold++
+				more = w.end(s, 0, OK)
+			}
+			acts = append(acts[1:], more...)
+		}
+	}
+	if cold < 1 || cold > 4 {
+		t.Fatalf("%d sent to the cold server", cold)
+	}
+}
+
+// A gift is taken off before it is told, so that it never makes room.
+func TestGiftsAreTakenOffFirst(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	w.pass(3 * time.Second)
+	w.spend(4, "hard")
+	c := w.g.customers["c"]
+	before, from, given := c.ceiling, w.now, 0.0
+	for i := range 10 {
+		w.hear(1, 1, uint32(i+1), true, entry{hash: c.hash, ceiling: true, store: unknownStore})
+		c.fresh = 1
+		for _, tell := range of[Tell](w.pass(w.g.tick)) {
+			m, ok := decodeReport(tell.Data)
+			if !ok {
+				t.Fatal("a report that cannot be read")
+			}
+			for _, e := range m.customers {
+				given += float64(e.gift) / 32
+			}
+		}
+	}
+	refill := 5 * (w.now - from).Seconds()
+	if given == 0 || c.ceiling+given > before+refill+0.01 {
+		t.Fatalf("%.2f, refilled by %.2f, became %.2f and %.2f given", before, refill, c.ceiling, given)
+	}
+}
