Roots sum a customer's counts where all-to-all reports outrun the mail

Servers have watchers that are told outcomes and tell verdicts; a gate refuses a part when latencies near their aims.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -52,6 +51,36 @@
 	retryCap           = 12.0             // most of it kept
 	coldSafety         = 0.5              // part of the cold budget used
 	giftRoom           = 0.5              // a ceiling part above this share of its size may be given
+
+	// Where reports from all to all are more than the mail bears.
+	rootMail    = 0.5                   // part of a gateway's mail intake that one customer may fill
+	rootPeak    = 2.0                   // asks it must bear, as a multiple of those inside the quota
+	freshFill   = 0.8                   // a root that may have been restarted presumes this much of a store
+	firstReply  = 60 * time.Millisecond // a first guess of the time to an answer
+	leastReply  = 30 * time.Millisecond // an answer is waited for this long at least
+	replySpread = 2.5                   // and for this many mean times
+	rootAsks    = 2                     // times a root is asked before its deputy is
+	thinSpan    = 8 * time.Second       // how long a root's word of what part fits is heeded
+	thinLeast   = 1.2                   // asked beyond that part, so that it is found when it grows
+	lostFor     = time.Second           // and the deputy is asked at once for so long after
+	deputyPart  = 0.25                  // part of a hard ceiling that the deputy holds
+	leaseAim    = 0.5                   // an attempt not told of as ended counts for this part of its aim
+	mostPace    = 12.0                  // most a server's pace is taken for
+	gateAim     = 0.75                  // mean latency over aim above which the gate closes
+	gateCut     = 0.07                  // by this part at each outcome
+	gateGrow    = 0.02                  // and else opens by this at each tick
+	strainSpan  = 0.1                  // weight of an outcome in the strain
+	strainTold  = 0.05                  // and of what a root tells of its own
+	sightLimit  = 0.45                  // average of failures that puts a server out of use for a class
+	sightWeight = 0.15                  // weight of an outcome in a watcher's averages
+	paceStep    = 1.7                   // a server's pace is told when it changed by this factor
+	verdictMail = 0.1                   // part of a gateway's mail intake that verdicts may fill
+	verdictKeep = 2.0                   // verdicts a watcher may send at once
+	trialEvery  = time.Second           // a watcher tries a server that is out of use so often
+	verdictLife = 8 * time.Second       // a verdict not told again lapses
+	otherZone   = 0.7                   // weight of a server in another zone
+	mostOut     = 0.7                   // verdicts against more servers than this part are not heeded
+	overdue     = 4.0                   // an attempt this many times as old as predicted counts as failed
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -68,6 +97,14 @@
 	}
 	mail := max(s.MailPerSecond*mailShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
+	g.tree = g.tick > maxTick && s.CanTell
+	g.gate = 1
+	g.nextTag, g.reply = g.rng.Uint32(), firstReply
+	for i := range s.Gateways {
+		if !g.tree {
+			g.peer(i)
+		}
+	}
 	g.tick = max(min(max(g.tick, minTick), maxTick), s.Resolution)
 	return g, nil
 }
@@ -97,6 +134,9 @@
 		if ev.Token == "tick" && now > g.lastTick {
 			g.onTick()
 		}
+		if ev.Token == "ask" {
+			g.onAskTimer()
+		}
 	case PeerMessage:
 		g.onPeer(ev)
 	case Members:
@@ -109,32 +149,81 @@
 // Customers, their stores and their room.
 
 func (g *Gateway) customer(r *Request) *customer {
-	if c := g.customers[r.Customer]; c != nil {
+	key := keyOf(r.Customer)
+	if c := g.customers[key]; c != nil {
 		return c
 	}
 	plan := g.plans[r.Plan]
 	if plan == nil {
-		plan = &Plan{Name: r.Plan}
+		plan = &quota{Plan: Plan{Name: r.Plan}}
 	}
-	h := fnv.New32a()
-	h.Write([]byte(r.Customer))
-	c := &customer{name: r.Customer, hash: h.Sum32() >> 8, plan: plan, n: 1, store: plan.Burst}
-	c.at, c.areaAt = g.now, g.now
-	for i := range min(r.Spread, g.set.Gateways) {
-		if num := (r.First + i) % g.set.Gateways; num != g.set.Me && num >= 0 {
-			v := &peerView{p: g.peers[num], ceiling: -1}
-			c.set, v.p.views = append(c.set, v), append(v.p.views, v)
-			c.n++
+	return g.account(key, plan, r.First, r.Spread)
+}
+
+// account starts a customer's counts. Those who sum them come first: in a
+// small fleet all its gateways, in a large one its roots. The others ask.
+func (g *Gateway) account(key uint64, plan *quota, first, spread int) *customer {
+	spread = max(1, min(spread, g.set.Gateways))
+	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), store: plan.Burst,
+		part: 1, first: first, spread: spread, at: g.now, areaAt: g.now}
+	roots, deputy := g.roots(c)
+	if mine := slices.Contains(roots, g.set.Me); mine || !g.tree {
+		for _, num := range roots {
+			if num != g.set.Me {
+				v := &peerView{p: g.peer(num), ceiling: -1}
+				c.set, v.p.views = append(c.set, v), append(v.p.views, v)
+			}
+		}
+	} else if plan.Rate > 0 || plan.Open > 0 {
+		c.ask = []int{roots[g.set.Me%len(roots)], deputy}
+	}
+	if g.tree {
+		// All ceiling parts are with those who grant.
+		c.n = float64(len(roots)) / (1 - deputyPart)
+		if len(c.ask) > 0 {
+			c.n = 1 / deputyPart
 		}
 	}
+	// A restarted root knows nothing: it must not grant a whole store again.
+	if g.tree && plan.Rate > 0 && (g.now-g.start).Seconds() < plan.Burst/plan.Rate {
+		c.store *= freshFill
+	}
 	// The ceiling's own part starts empty at the gateway's start: after a
 	// restart it must not be granted a second time.
 	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
-	g.customers[c.name], g.byHash[c.hash] = c, c
+	g.customers[c.key] = c
+	if _, twice := g.byHash[c.hash]; twice {
+		g.byHash[c.hash] = nil // two of one short hash: no report is taken for either
+	} else {
+		g.byHash[c.hash] = c
+	}
 	g.ring = append(g.ring, c)
 	return c
 }
 
+// roots are the gateways that sum a customer's counts: as few as can take in
+// what its gateways ask of them, all where reports go from all to all. The
+// deputy steps in for a root that is silent.
+func (g *Gateway) roots(c *customer) (nums []int, deputy int) {
+	k := c.spread
+	if g.tree {
+		asks := rootPeak * c.plan.Rate
+		if c.plan.Open > 0 {
+			asks += c.plan.Rate // those that pass tell their ends too
+		}
+		asks /= max(1, g.set.LargestUnits/2)
+		k = min(max(1, int(math.Ceil(asks/max(1, g.set.MailPerSecond*rootMail)))), c.spread)
+	}
+	base, step := int(c.key>>33)%c.spread, max(1, c.spread/(k+1))
+	for i := range k + 1 {
+		deputy = (c.first + (base+i*step)%c.spread) % g.set.Gateways
+		if i < k {
+			nums = append(nums, deputy)
+		}
+	}
+	return nums, deputy
+}
+
 // advance brings a customer's stores up to now. A peer long silent is taken
 // to use its demand-split part of the rate: it may only be cut off.
 func (g *Gateway) advance(c *customer) {
@@ -150,6 +239,9 @@
 		}
 	}
 	share := 1 - unheard/g.demand(c)
+	if len(c.ask) > 0 {
+		share = 1 / float64(c.spread) // what others pass is the root's to know
+	}
 	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
 	c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+c.plan.HardRate/c.n*dt)
 	k := math.Exp(-dt / demandSpan.Seconds())
@@ -247,16 +339,37 @@
 	if cl == nil {
 		cl = &class{Class: Class{Aim: ev.Remaining, Effect: Unsafe}, mean: g.mean}
 	}
-	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now}
+	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now, repeat: ev.Retry}
 	r.deadline = g.now + ev.Remaining
 	g.reqs[r.id], c.seen = r, g.now
 	c.rate += ev.Units
+	if len(c.ask) == 0 {
+		g.admit(r)
+		return
+	}
+	// Of a customer far above its quota only the part that fits is asked for:
+	// its root could not take in all its asks, nor those of others then. Harms
+	// for as long as thinSpan when the customer stops asking for more.
+	r.asks = 1
+	if g.set.MailPerSecond > 0 && c.plan.Rate > 0 {
+		r.asks = min(1, c.part*thinLeast+(g.now-c.partAt).Seconds()/thinSpan.Seconds())
+	}
+	if g.rng.Float64() > r.asks*g.gate {
+		g.refuse(r)
+		return
+	}
+	g.ask(r)
+}
+
+// admit lets a request pass, holds it in its customer's queue or refuses it.
+func (g *Gateway) admit(r *request) {
+	c := r.c
 	c.fresh = repeatTicks
 	// A client's repeat is often late. It gives way to first tries while requests
 	// wait for servers or the store is low. Guards against retry storms; harms
 	// where repeats come soon and aims are long.
 	scarce := c.plan.Rate > 0 && g.allowance(c) < r.units+retryReserve*c.plan.Burst
-	if !g.within(r) || ev.Retry && (scarce || g.pressed()) {
+	if !g.within(r) || r.repeat && (scarce || !r.remote && g.pressed()) {
 		g.refuse(r)
 		return
 	}
@@ -266,12 +379,15 @@
 	// The queue holds no more than can still meet the aim.
 	if c.plan.Open > 0 {
 		slots := max(1, float64(c.plan.Open)*g.share(c))
-		if float64(len(c.held)+1)*cl.mean/slots > cl.Aim.Seconds()*holdAim {
+		if float64(len(c.held)+1)*r.cl.mean/slots > r.cl.Aim.Seconds()*holdAim {
 			g.refuse(r)
 			return
 		}
 	}
 	g.hold(r)
+	if r.remote && !r.over {
+		g.answer(r, waits)
+	}
 }
 
 // pressed tells whether a request lacked a server in the last moment.
@@ -283,10 +399,10 @@
 	if r.counted {
 		return true
 	}
-	if c.plan.Rate > 0 && g.allowance(c) < r.units {
+	if c.plan.Rate > 0 && !r.granted && g.allowance(c) < r.units {
 		return false
 	}
-	return c.plan.HardRate == 0 || c.ceiling >= r.units
+	return c.plan.HardRate == 0 || r.granted || c.ceiling >= r.units
 }
 
 // hold puts a request in its customer's queue. What no tick could answer in
@@ -308,6 +424,10 @@
 
 // try sends the request to a server if one has room for it.
 func (g *Gateway) try(r *request) bool {
+	if r.remote {
+		g.grant(r)
+		return true
+	}
 	var s *server
 	if float64(g.out) < g.limit {
 		s = g.pick(r)
@@ -319,9 +439,7 @@
 	c := r.c
 	if !r.counted {
 		r.counted = true
-		c.store = max(0, c.store-r.units)
-		c.ceiling -= r.units
-		c.passed += uint16(r.units)
+		c.take(r)
 		g.budget = min(retryCap, g.budget+retryEarn)
 	}
 	c.count(g.now, 1)
@@ -352,14 +470,22 @@
 	if i := slices.Index(r.c.held, r); i >= 0 {
 		g.unhold(r.c, i)
 	}
-	if r.srv == nil {
-		delete(g.reqs, r.id)
+	if r.remote || r.srv != nil {
+		return
+	}
+	delete(g.reqs, r.id)
+	delete(g.asks, r.tag)
+	if r.granted && (r.c.plan.Open > 0 || !r.counted) {
+		r.granted = false
+		g.do(Tell{To: r.root, Data: encode(ended{r.c.key, r.tag, !r.counted})})
 	}
 }
 
 // refuse gives the final answer: a refusal where a retry is harmless.
 func (g *Gateway) refuse(r *request) {
-	if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
+	if r.remote {
+		g.answer(r, refused)
+	} else if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
 		g.do(Fail{ID: r.id})
 	} else {
 		var after time.Duration
@@ -481,12 +607,13 @@
 		s := g.servers[m.ID]
 		if s == nil {
 			h := uint32(m.ID) * 0x9e3779b1 >> (32 - serverBits)
-			s = &server{hash: uint16(h), slow: 1, wait: minEject,
-				fullAt: map[*Plan]time.Duration{}}
+			s = &server{hash: uint16(h), slow: 1, wait: minEject, pace: 1, verdicts: verdictKeep, verdictAt: g.now, by: make([]record, len(g.set.Classes)),
+				fullAt: map[*quota]time.Duration{}, watcher: int(h) % g.set.Gateways}
 			g.servers[m.ID] = s
 			g.fleet = append(g.fleet, s)
 		} else if m.HasStart && m.Start != s.Start {
-			s.bad, s.errs, s.slow, s.wait = false, 0, 1, minEject
+			s.bad, s.errs, s.slow, s.wait, s.pace = false, 0, 1, minEject, 1
+			clear(s.by)
 		}
 		s.Server = m
 	}
@@ -559,7 +686,7 @@
 // and zone price, or nil when all are full. A trial goes to an ejected server
 // whose time is up.
 func (g *Gateway) pick(r *request) *server {
-	var ok []*server
+	var ok, doubted []*server
 	for _, s := range g.fleet {
 		if !g.usable(s, r) {
 			continue
@@ -570,9 +697,25 @@
 			}
 			continue
 		}
-		if s != r.last {
-			ok = append(ok, s)
+		if s == r.last {
+			continue
+		}
+		if v := g.record(s, r.cl); v != nil && v.bad && g.now < v.until {
+			// Its watcher alone tries a server that is out of use.
+			if s.watcher == g.set.Me && g.now >= v.trial && r.attempts == 0 && r.cl.Effect != Unsafe {
+				v.trial = g.now + trialEvery
+				return s
+			}
+			doubted = append(doubted, s)
+			continue
 		}
+		ok = append(ok, s)
+	}
+	if float64(len(doubted)) > mostOut*float64(len(ok)+len(doubted)) {
+		ok = append(ok, doubted...)
+	}
+	if g.tree {
+		return g.draw(ok)
 	}
 	var best *server
 	low := math.Inf(1)
@@ -595,6 +738,30 @@
 	return best
 }
 
+// draw chooses a server by its share of the fleet's capacity. A large fleet's
+// gateways don't see the load there; were each to take the best of a few, all
+// would crowd onto the same servers.
+func (g *Gateway) draw(ok []*server) *server {
+	sum := 0.0
+	for _, s := range ok {
+		s.weight = g.sizeOf(s) / max(s.slow, 0.1) / float64(1+s.out)
+		if s.Zone != g.set.Zone {
+			s.weight *= otherZone
+		}
+		if cold := g.coldness(s); cold < 1 {
+			s.weight *= cold * coldSafety
+		}
+		sum += s.weight
+	}
+	at := g.rng.Float64() * sum
+	for _, s := range ok {
+		if at -= s.weight; at < 0 {
+			return s
+		}
+	}
+	return nil
+}
+
 // judge learns from an outcome: latency, errors, load reports.
 func (g *Gateway) judge(s *server, r *request, ev Outcome) {
 	if len(ev.Load) == len(g.set.ReportNames) && len(g.loadCols) > 0 && ev.Load != nil {
@@ -603,6 +770,9 @@
 			s.load += ev.Load[i]
 		}
 	}
+	if ev.Code != Moot && ev.Code != Cancelled {
+		g.sight(s, r.cl, ev.Code, ev.Latency)
+	}
 	if ev.Code == OK || ev.Code == TimedOut {
 		g.adapt(min(1, ev.Latency.Seconds()/r.cl.Aim.Seconds()))
 	}
@@ -612,10 +782,16 @@
 		s.errs -= 2 * learn * s.errs
 		base := (1 + queueWeight*r.load/g.sizeOf(s)) / g.coldness(s)
 		lat := ev.Latency.Seconds() / base
-		s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
+		if !g.tree {
+			s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
+		}
 		g.mean += learn * 0.3 * (r.cl.mean - g.mean)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return t < r.sentAt })
-		r.cl.mean += learn * 0.3 * (min(lat, 4*r.cl.mean) - r.cl.mean)
+		w := learn * 0.3
+		if r.cl.seen++; g.tree {
+			w = max(w, 1/(r.cl.seen+1)) // few outcomes come here: the first count for more
+		}
+		r.cl.mean += w * (min(lat, 4*r.cl.mean) - r.cl.mean)
 		if s.bad {
 			if s.trials++; s.trials >= 2 {
 				s.bad, s.errs, s.wait = false, 0, max(minEject, s.wait/2)
@@ -634,7 +810,9 @@
 		// attempt ends. Silence tells hung servers from slow ones, not this.
 		s.ghosts = append(s.ghosts, r.sentAt)
 		seen := ev.Latency.Seconds() / r.cl.mean / (1 + queueWeight*r.load/g.sizeOf(s))
-		s.slow += learn * (min(max(seen, s.slow), 12) - s.slow)
+		if !g.tree {
+			s.slow += learn * (min(max(seen, s.slow), 12) - s.slow)
+		}
 		return
 	default:
 		s.errs += 2 * learn * (1 - s.errs)
@@ -648,6 +826,15 @@
 // come to their aims. Guards against load it is not told of, on all servers:
 // peers unheard, slow fleets. Harms where aims are near idle latencies.
 func (g *Gateway) adapt(strain float64) {
+	if g.tree {
+		// With an attempt or two out there is none to take back: a part of the
+		// requests is refused.
+		g.strain += strainSpan * (strain - g.strain)
+		if g.strain > gateAim {
+			g.gate = max(gateGrow, g.gate*(1-gateCut))
+		}
+		return
+	}
 	g.strain += learn * 0.5 * (strain - g.strain)
 	least := max(2, float64(len(g.fleet))/float64(g.set.Gateways))
 	if g.strain > strainAim {
@@ -679,9 +866,17 @@
 // ejected and what can go elsewhere is called back.
 func (g *Gateway) silence(s *server) {
 	old := 0
-	for _, r := range s.oldest {
+	for _, r := range slices.Clone(s.oldest) {
 		p := max(g.predict(s, r.cl), 0.1*r.cl.Aim.Seconds())
 		age := (g.now - r.sentAt).Seconds()
+		if g.tree && age > overdue*p && !r.quit && !r.stream && !r.over {
+			r.quit = true
+			g.sight(s, r.cl, TimedOut, g.now-r.sentAt)
+			if g.set.CanCancel && r.cl.Effect == Safe && g.budget >= 1 &&
+				(g.set.MaxAttempts == 0 || r.attempts < g.set.MaxAttempts) {
+				g.do(Cancel{ID: r.id, Attempt: r.attempts - 1})
+			}
+		}
 		if s.okAt <= r.sentAt && !r.stream && age > 3*p {
 			old++
 			if age > 6*p {
@@ -718,14 +913,27 @@
 	if g.set.FallTime > 0 {
 		g.sendRate *= math.Exp(-float64(dt) / float64(g.set.FallTime))
 	}
-	g.sumLoads()
+	if !g.tree {
+		g.sumLoads()
+	} else if g.strain -= gateGrow * g.strain; g.strain < gateAim {
+		g.gate = min(1, g.gate+gateGrow)
+	}
 	for _, s := range g.fleet {
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return g.now-t > ghostLife })
 		// What is not tried is not learned: an old judgement wears off.
 		s.slow += (1 - s.slow) * min(1, dt.Seconds()/slowSpan.Seconds())
 		g.silence(s)
+		if s.watcher == g.set.Me {
+			g.tell(s)
+		}
 	}
 	for _, c := range g.ring {
+		for l, v := range c.leases {
+			if g.now > v.until {
+				delete(c.leases, l)
+				c.count(g.now, -1)
+			}
+		}
 		c.count(g.now, 0)
 		c.mean, c.area = c.area/dt.Seconds(), 0
 	}
@@ -777,8 +985,10 @@
 	}
 	slices.SortStableFunc(list, func(a, b *customer) int { return cmp.Compare(b.urgency, a.urgency) })
 	for _, p := range g.peers {
-		if p.num != g.set.Me {
-			g.do(Tell{To: p.num, Data: g.message(p, list)})
+		if p != nil && p.num != g.set.Me && (!g.tree || len(list) > 0) {
+			if m := g.message(p, list); !g.tree || len(m.customers) > 0 {
+				g.do(Tell{To: p.num, Data: m.encode()})
+			}
 		}
 	}
 	for _, c := range list {
@@ -790,10 +1000,10 @@
 
 // message makes the report for one peer: the servers this gateway has attempts
 // out at, then the customers that come in through both, busiest first.
-func (g *Gateway) message(p *peer, list []*customer) []byte {
-	m := report{inc: g.inc, seq: g.seq, complete: true}
+func (g *Gateway) message(p *peer, list []*customer) *report {
+	m := &report{inc: g.inc, seq: g.seq, complete: true}
 	for _, s := range g.fleet {
-		if s.out > 0 && len(m.servers) < maxServers {
+		if s.out > 0 && len(m.servers) < maxServers && !g.tree {
 			m.servers = append(m.servers, serverOut{s.hash, byte(min(s.out, maxOut))})
 		}
 	}
@@ -821,7 +1031,7 @@
 		m.customers = append(m.customers, e)
 		c.told = g.ticks
 	}
-	return m.encode()
+	return m
 }
 
 // gift takes units of the ceiling's own part for a peer that has less: at
@@ -839,11 +1049,31 @@
 }
 
 func (g *Gateway) onPeer(ev PeerMessage) {
-	m, ok := decodeReport(ev.Data)
-	if !ok || ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me {
+	if ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me {
+		return
+	}
+	switch m := decode(ev.Data).(type) {
+	case ask:
+		g.onAsk(ev.From, m)
+	case answer:
+		g.onAnswer(ev.From, m)
+	case ended:
+		g.onEnded(ev.From, m)
+	case sight:
+		if s := g.servers[ServerID(m.Server)]; s != nil && s.watcher == g.set.Me && int(m.Class) < len(s.by) {
+			g.gather(s, int(m.Class), Code(m.Code), time.Duration(m.Latency)*time.Millisecond)
+		}
+	case verdict:
+		g.onVerdict(m)
+	case report:
+		g.onReport(g.peers[ev.From], m)
+	}
+}
+
+func (g *Gateway) onReport(p *peer, m report) {
+	if p == nil {
 		return
 	}
-	p := g.peers[ev.From]
 	if p.heard && p.inc == m.inc && int32(m.seq-p.seq) <= 0 {
 		return // old or repeated: the later report holds all it said
 	}
@@ -857,7 +1087,9 @@
 	for _, o := range m.servers {
 		p.outs[o.hash] = float64(o.out)
 	}
-	g.sumLoads()
+	if !g.tree {
+		g.sumLoads()
+	}
 	for _, e := range m.customers {
 		if c := g.byHash[e.hash]; c != nil {
 			g.hear(c, p, e)
@@ -897,3 +1129,245 @@
 		c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+gift)
 	}
 }
+
+// Asking the roots of a customer: where its counts are not here, a request
+// waits for its root's answer.
+
+// ask sends a request to the customer's root, again if that or the answer is
+// lost, and then to the deputy. No answer from either leaves it to the last
+// fill heard, but under a ceiling: lost roots must not stop customers far below
+// their quotas.
+func (g *Gateway) ask(r *request) {
+	c := r.c
+	if r.asked == 0 && g.now < c.lostUntil {
+		r.asked = rootAsks
+	}
+	if delete(g.asks, r.tag); r.asked > rootAsks {
+		if r.waits || c.plan.HardRate > 0 || !g.within(r) || !g.try(r) {
+			g.refuse(r)
+		}
+		return
+	}
+	to := c.ask[0]
+	if r.asked == rootAsks {
+		to, c.lostUntil = c.ask[1], g.now+lostFor
+	}
+	if to == g.set.Me {
+		g.admit(r)
+		return
+	}
+	if r.asked != 1 || r.root != to { // the same name when the same root is asked again
+		g.nextTag++
+		r.tag = g.nextTag
+	}
+	r.root, r.askedAt = to, g.now
+	r.asked++
+	wait := max(leastReply, time.Duration(replySpread*float64(g.reply)))
+	r.until = min(g.now+wait, r.deadline-2*g.set.Resolution)
+	g.asks[r.tag] = r
+	g.asking = append(g.asking, r)
+	left := min(max(0, (r.deadline-g.now).Milliseconds()), math.MaxUint16)
+	m := ask{Customer: c.key, First: uint16(c.first), Spread: uint16(c.spread), Plan: c.plan.no,
+		Class: byte(r.cl.no), Units: uint16(r.units), Left: uint16(left), Tag: r.tag, Repeat: r.repeat,
+		Fill: unknownStore, Thin: small(250 * r.asks)}
+	if c.told > 0 {
+		m.Fill = small(250 * max(0, c.store) / max(1, c.plan.Burst))
+	}
+	g.do(Tell{To: r.root, Data: encode(m)})
+	g.do(SetTimer{Token: "ask", After: r.until - g.now})
+}
+
+// onAskTimer asks again, elsewhere, for what was not answered.
+func (g *Gateway) onAskTimer() {
+	list := g.asking
+	g.asking = nil
+	for _, r := range list {
+		switch {
+		case r.over || r.granted || g.asks[r.tag] != r:
+		case g.now < r.until:
+			g.asking = append(g.asking, r)
+		case r.waits:
+			g.refuse(r)
+		default:
+			g.ask(r)
+		}
+	}
+}
+
+// onAsk takes a member's request into the customer's counts as if it had come
+// in here.
+func (g *Gateway) onAsk(from int, m ask) {
+	if int(m.Plan) >= len(g.set.Plans) || int(m.Class) >= len(g.set.Classes) || m.Spread == 0 {
+		return
+	}
+	c := g.customers[m.Customer]
+	if c == nil {
+		c = g.account(m.Customer, g.plans[g.set.Plans[m.Plan].Name], int(m.First), int(m.Spread))
+		if m.Fill != unknownStore {
+			c.store = min(c.store, float64(m.Fill)/250*c.plan.Burst)
+		}
+	}
+	if l, again := c.leases[lease{from, m.Tag}]; again {
+		g.answer(l.r, granted)
+		return
+	}
+	if slices.ContainsFunc(c.held, func(r *request) bool { return r.remote && r.root == from && r.tag == m.Tag }) {
+		return
+	}
+	g.advance(c)
+	c.seen = g.now
+	c.rate += float64(m.Units) * 250 / float64(max(1, m.Thin))
+	r := &request{c: c, cl: g.classes[g.set.Classes[m.Class].Name], units: float64(m.Units), arrived: g.now,
+		repeat: m.Repeat, remote: true, root: from, tag: m.Tag}
+	r.deadline = g.now + time.Duration(m.Left)*time.Millisecond
+	g.admit(r)
+}
+
+// grant counts a member's request and tells it to go.
+func (g *Gateway) grant(r *request) {
+	c := r.c
+	c.take(r)
+	if c.leases == nil {
+		c.leases = map[lease]leased{}
+	}
+	c.leases[lease{r.root, r.tag}] = leased{g.now + time.Duration(leaseAim*float64(r.cl.Aim)), r}
+	c.count(g.now, 1)
+	r.counted, r.over = true, true
+	g.answer(r, granted)
+}
+
+func (g *Gateway) answer(r *request, v byte) {
+	fill := small(250 * max(0, r.c.store) / max(1, r.c.plan.Burst))
+	part := 1.0
+	if r.c.store < retryReserve*r.c.plan.Burst {
+		part = min(1, r.c.plan.Rate*demandSpan.Seconds()/max(r.c.rate, 1))
+	}
+	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(250 * part), small(100 * g.strain)})})
+}
+
+func (g *Gateway) onAnswer(from int, m answer) {
+	r := g.asks[m.Tag]
+	if r == nil || r.root != from || r.over {
+		return
+	}
+	c := r.c
+	if !r.waits {
+		g.reply += time.Duration(learn * float64(g.now-r.askedAt-g.reply))
+	}
+	g.advance(c)
+	g.strain += strainTold * (float64(m.Strain)/100 - g.strain)
+	c.part, c.partAt = float64(m.Part)/250, g.now
+	c.store, c.told = float64(m.Fill)/250*c.plan.Burst, g.ticks+1
+	if m.Verdict == waits {
+		r.waits, r.until = true, min(r.arrived+time.Duration(holdAim*float64(r.cl.Aim)), r.deadline-g.tick)
+		g.do(SetTimer{Token: "ask", After: max(g.set.Resolution, r.until-g.now)})
+		return
+	}
+	delete(g.asks, m.Tag)
+	if m.Verdict != granted {
+		g.refuse(r)
+		return
+	}
+	if r.granted = true; !g.within(r) {
+		g.refuse(r)
+	} else if !g.try(r) {
+		g.hold(r)
+	}
+}
+
+// onEnded frees what a member's attempt held, and gives back what it never used.
+func (g *Gateway) onEnded(from int, m ended) {
+	c := g.customers[m.Customer]
+	if c == nil {
+		return
+	}
+	l, ok := c.leases[lease{from, m.Tag}]
+	if !ok {
+		return
+	}
+	delete(c.leases, lease{from, m.Tag})
+	c.count(g.now, -1)
+	g.advance(c)
+	if m.Unused {
+		c.store = min(c.plan.Burst, c.store+l.r.units)
+	}
+	g.release(c)
+}
+
+// Watching servers: in a large fleet each meets a server too seldom to judge
+// it, so each server has a watcher among the gateways that is told outcomes
+// and tells all its verdicts, by class.
+
+func (g *Gateway) record(s *server, cl *class) *record {
+	if !g.tree || cl.no >= len(s.by) || cl.Name == "" {
+		return nil
+	}
+	return &s.by[cl.no]
+}
+
+func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
+	switch {
+	case !g.tree || cl.Name == "":
+	case s.watcher == g.set.Me:
+		g.gather(s, cl.no, code, latency)
+	default:
+		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
+		g.do(Tell{To: s.watcher, Data: encode(sight{uint32(s.ID), byte(cl.no), byte(code), ms})})
+	}
+}
+
+// gather adds an outcome to what the fleet knows of a server. One that turns
+// requests away is taken for very slow: it gets few more until it answers.
+func (g *Gateway) gather(s *server, class int, code Code, latency time.Duration) {
+	v, mean := &s.by[class], g.classes[g.set.Classes[class].Name].mean
+	seen := min(latency.Seconds()/mean/g.coldness(s), mostPace)
+	switch code {
+	case OK:
+		v.errs -= sightWeight * v.errs
+	case Full:
+		seen = mostPace
+	default:
+		v.errs += sightWeight * (1 - v.errs)
+		seen = max(seen, s.pace)
+	}
+	s.pace += learn * 0.25 * (seen - s.pace)
+	g.tell(s)
+}
+
+// tell tells all gateways what has changed of a server that this one watches,
+// and again what still keeps it out of use. Each goes to every gateway, so all
+// watchers together keep to a part of the mail.
+func (g *Gateway) tell(s *server) {
+	each := g.set.MailPerSecond * verdictMail / float64(max(1, len(g.fleet)))
+	s.verdicts = min(verdictKeep, s.verdicts+each*(g.now-s.verdictAt).Seconds())
+	s.verdictAt = g.now
+	m := verdict{Server: uint32(s.ID), Pace: small(16 * (4 + math.Log2(max(s.pace, 0.1))))}
+	news, until := false, time.Duration(0)
+	for i := range s.by {
+		v := &s.by[i]
+		bad := v.errs > sightLimit || v.bad && v.errs > sightLimit/2
+		if bad {
+			m.Bad |= 1 << i
+			until = v.until
+		}
+		news = news || bad != v.bad
+	}
+	change := max(s.pace/s.slow, s.slow/s.pace) > paceStep
+	if again := m.Bad != 0 && until-g.now < verdictLife/4; s.verdicts < 1 || !news && !change && !again {
+		return
+	}
+	s.verdicts--
+	g.onVerdict(m)
+	g.do(Tell{To: -1, Data: encode(m)})
+}
+
+func (g *Gateway) onVerdict(m verdict) {
+	s := g.servers[ServerID(m.Server)]
+	if s == nil {
+		return
+	}
+	for i := range s.by {
+		s.by[i].bad, s.by[i].until = m.Bad>>i&1 == 1, g.now+verdictLife
+	}
+	s.slow = math.Exp2(float64(m.Pace)/16 - 4)
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -324,8 +324,7 @@
 }
 
 func hashOf(name string) uint32 {
-	w := &Gateway{customers: map[string]*customer{}, byHash: map[uint32]*customer{}, plans: map[string]*Plan{}}
-	return w.customer(&Request{Customer: name}).hash
+	return shortOf(keyOf(name))
 }
 
 func TestHoldsBeyondTheCapInOrder(t *testing.T) {
@@ -806,7 +805,7 @@
 	w := newWorld(t, base(), fleet(8))
 	w.pass(3 * time.Second)
 	w.spend(4, "hard")
-	c := w.g.customers["c"]
+	c := w.g.customers[keyOf("c")]
 	before, from, given := c.ceiling, w.now, 0.0
 	for i := range 10 {
 		w.hear(1, 1, uint32(i+1), true, entry{hash: c.hash, ceiling: true, store: unknownStore})
--- a/policy/report.go
+++ b/policy/report.go
@@ -1,6 +1,120 @@
 package policy
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"hash/fnv"
+)
+
+// keyOf names a customer in messages, shortOf in reports.
+func keyOf(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+func shortOf(key uint64) uint32 { return uint32(key >> 40) }
+
+// The short messages of a large fleet. On the wire: version, kind, fields.
+
+// ask asks a customer's root to count a request.
+type ask struct {
+	Customer      uint64
+	First, Spread uint16
+	Plan, Class   byte
+	Units, Left   uint16 // Left: milliseconds until the client gives up
+	Tag           uint32
+	Thin          byte // with what chance it was asked for, 250 certain
+	Fill          byte // of the store as last heard, 250 full
+	Repeat        bool
+}
+
+// answer is the root's.
+type answer struct {
+	Tag           uint32
+	Verdict, Fill byte
+	Strain        byte // the root's latency over aim, 100 alike
+	Part          byte // of what is asked for fits, 250 all
+}
+
+const (
+	granted byte = iota
+	refused
+	waits // held at the root, another answer follows
+)
+
+// ended tells the root that a granted attempt is over, or was never made.
+type ended struct {
+	Customer uint64
+	Tag      uint32
+	Unused   bool
+}
+
+// sight tells a server's watcher of an outcome.
+type sight struct {
+	Server  uint32
+	Class   byte
+	Code    byte
+	Latency uint16 // milliseconds
+}
+
+// verdict is the watcher's on a server and class, for all.
+type verdict struct {
+	Server uint32
+	Bad    byte // a bit for each of the first classes
+	Pace   byte // latency against the fleet's: 16 * (4 + its log2)
+}
+
+const shortVersion = 3
+
+func encode(m any) []byte {
+	var kind byte
+	switch m.(type) {
+	case answer:
+		kind = 1
+	case ended:
+		kind = 2
+	case sight:
+		kind = 3
+	case verdict:
+		kind = 4
+	}
+	b, err := binary.Append([]byte{shortVersion, kind}, binary.BigEndian, m)
+	if err != nil {
+		panic(err) // not a message of this file
+	}
+	return b
+}
+
+// decode reads a message; it is nil for anything but a whole, well-formed one.
+func decode(b []byte) any {
+	if len(b) < 2 || b[0] != shortVersion {
+		if m, ok := decodeReport(b); ok {
+			return m
+		}
+		return nil
+	}
+	switch b[1] {
+	case 0:
+		return fixed[ask](b[2:])
+	case 1:
+		return fixed[answer](b[2:])
+	case 2:
+		return fixed[ended](b[2:])
+	case 3:
+		return fixed[sight](b[2:])
+	case 4:
+		return fixed[verdict](b[2:])
+	}
+	return nil
+}
+
+func fixed[T any](b []byte) any {
+	var m T
+	if n, err := binary.Decode(b, binary.BigEndian, &m); err != nil || n != len(b) {
+		return nil
+	}
+	return m
+}
 
 // report is what a gateway tells a peer once a tick. On the wire: version,
 // incarnation, sequence number, flags, number of servers, servers, customers.
--- a/policy/state.go
+++ b/policy/state.go
@@ -8,17 +8,24 @@
 )
 
 type customer struct {
-	name   string
-	hash   uint32
-	plan   *Plan
-	set    []*peerView // its other gateways
-	n      float64     // its gateways, this one included
-	held   []*request  // waiting, in arrival order
-	out    int
-	seen   time.Duration // its last request
-	area   float64       // integral of out over the tick, for its mean
-	areaAt time.Duration
-	mean   float64
+	key       uint64
+	hash      uint32 // in reports
+	plan      *quota
+	first     int // its gateways: spread of them, counted round from first
+	spread    int
+	ask       []int   // the gateways that sum its counts, where this one does not
+	part      float64 // of what is asked for fits, as its root said
+	partAt    time.Duration
+	lostUntil time.Duration    // its root is taken for lost
+	leases    map[lease]leased // granted to others and not told of as ended
+	set       []*peerView      // its other gateways
+	n         float64          // its gateways, this one included
+	held      []*request       // waiting, in arrival order
+	out       int
+	seen      time.Duration // its last request
+	area      float64       // integral of out over the tick, for its mean
+	areaAt    time.Duration
+	mean      float64
 
 	at        time.Duration // time of the stores below
 	store     float64       // estimate of the quota's store
@@ -32,6 +39,40 @@
 	urgency   float64       // its place in the report
 }
 
+// quota is a plan with its place in the settings.
+type quota struct {
+	Plan
+	no byte
+}
+
+// lease names a request that another gateway asked for.
+type lease struct {
+	from int
+	tag  uint32
+}
+
+type leased struct {
+	until time.Duration
+	r     *request
+}
+
+// take takes a request's units from the stores.
+func (c *customer) take(r *request) {
+	c.store = max(0, c.store-r.units)
+	if !r.granted {
+		c.ceiling -= r.units
+	}
+	c.passed += uint16(r.units)
+}
+
+// record is what the fleet knows of a server for one class.
+type record struct {
+	errs  float64 // the watcher's average
+	bad   bool    // out of use for the class, until a time
+	until time.Duration
+	trial time.Duration // when the watcher may next try it
+}
+
 // peerView is what one other gateway last said of one customer.
 type peerView struct {
 	p       *peer
@@ -75,12 +116,24 @@
 	over     bool
 	stream   bool
 	quit     bool    // its attempt was cancelled
+	asks     float64 // with what chance it was asked for
+	repeat   bool    // the client marked it as one
+	remote   bool    // came in at the gateway root, which asks for it
+	root     int     // the gateway asked for it
+	tag      uint32  // by this name
+	asked    int     // how often
+	askedAt  time.Duration
+	until    time.Duration // an answer is waited for until then
+	waits    bool          // held there
+	granted  bool
 	last     *server // of the attempt before
 }
 
 type class struct {
 	Class
+	no   int     // place in the settings
 	mean float64 // seconds an idle server of the fleet takes
+	seen float64 // outcomes it rests on
 }
 
 type server struct {
@@ -95,13 +148,20 @@
 	ghosts []time.Duration // when attempts were sent that were given up but may still run
 	load   float64         // last reported load
 	loadAt time.Duration
-	fullAt map[*Plan]time.Duration // until then it is taken to turn this plan away
-	bad    bool                    // ejected
-	dead   bool                    // because it could not be reached
-	until  time.Duration           // until then nothing is tried
-	wait   time.Duration           // length of the next ejection
+	fullAt map[*quota]time.Duration // until then it is taken to turn this plan away
+	bad    bool                     // ejected
+	dead   bool                     // because it could not be reached
+	until  time.Duration            // until then nothing is tried
+	wait   time.Duration            // length of the next ejection
 	trials int
 	sends  []time.Duration // while cold: recent sends
+
+	weight    float64  // in the draw at hand
+	watcher   int      // the gateway that judges it for all
+	by        []record // by class
+	verdicts  float64  // its watcher may send now
+	verdictAt time.Duration
+	pace      float64 // latency against the fleet's, as the watcher learns it
 }
 
 // Gateway decides for one gateway. It is not safe for concurrent use.
@@ -117,8 +177,8 @@
 	now       time.Duration
 	lastTick  time.Duration
 	classes   map[string]*class
-	plans     map[string]*Plan
-	customers map[string]*customer
+	plans     map[string]*quota
+	customers map[uint64]*customer
 	byHash    map[uint32]*customer
 	ring      []*customer
 	waiting   []*customer
@@ -138,6 +198,12 @@
 	size      float64 // mean weight in the list
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
+	gate      float64 // part of the requests let in
+	tree      bool    // reports from all to all would be too many
+	asks      map[uint32]*request
+	asking    []*request // in the order asked, answered ones too
+	nextTag   uint32
+	reply     time.Duration // mean time to an answer
 }
 
 func (g *Gateway) do(a Action) { g.acts = append(g.acts, a) }
@@ -170,18 +236,17 @@
 // newGateway returns a gateway with empty tables.
 func newGateway(s Settings, seed uint64) *Gateway {
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
+		classes: map[string]*class{}, plans: map[string]*quota{}, customers: map[uint64]*customer{},
+		asks:   map[uint32]*request{},
 		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{}}
 	g.inc = g.rng.Uint32()
-	for _, p := range s.Plans {
-		g.plans[p.Name] = &p
+	for i, p := range s.Plans {
+		g.plans[p.Name] = &quota{p, byte(i)}
 	}
-	for _, c := range s.Classes {
-		g.classes[c.Name] = &class{Class: c}
-	}
-	for i := range s.Gateways {
-		g.peers = append(g.peers, &peer{num: i})
+	for i, c := range s.Classes {
+		g.classes[c.Name] = &class{Class: c, no: i}
 	}
+	g.peers = make([]*peer, s.Gateways)
 	for i, name := range s.ReportNames {
 		if name == LoadActive || name == LoadWaiting {
 			g.loadCols = append(g.loadCols, i)
@@ -190,6 +255,14 @@
 	return g
 }
 
+// peer returns what is known of a gateway.
+func (g *Gateway) peer(num int) *peer {
+	if g.peers[num] == nil {
+		g.peers[num] = &peer{num: num}
+	}
+	return g.peers[num]
+}
+
 // ejected counts the running servers, and those of them ejected as slow or failing.
 func (g *Gateway) ejected() (bad, all int) {
 	for _, s := range g.fleet {
@@ -208,7 +281,7 @@
 	for _, s := range g.fleet {
 		s.heard = 0
 		for _, p := range g.peers {
-			if !g.silent(p) {
+			if p != nil && !g.silent(p) {
 				s.heard += p.outs[s.hash]
 			}
 		}
@@ -241,7 +314,7 @@
 	if len(g.ring) < len(g.customers) {
 		clear(g.customers)
 		for _, c := range g.ring {
-			g.customers[c.name] = c
+			g.customers[c.key] = c
 		}
 	}
 }
