--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,17 +59,18 @@
 	firstReply  = 60 * time.Millisecond // a first guess of the time to an answer
 	leastReply  = 30 * time.Millisecond // an answer is waited for this long at least
 	replySpread = 2.5                   // and for this many mean times
+	rootTicks   = 2                     // a customer's roots report to each other every so many ticks
 	rootAsks    = 2                     // times a root is asked before its deputy is
-	thinSpan    = 8 * time.Second       // how long a root's word of what part fits is heeded
+	thinSpan    = 12 * time.Second      // how long a root's word of what part fits is heeded
 	thinLeast   = 1.2                   // asked beyond that part, so that it is found when it grows
 	lostFor     = time.Second           // and the deputy is asked at once for so long after
 	deputyPart  = 0.25                  // part of a hard ceiling that the deputy holds
-	leaseAim    = 0.5                   // an attempt not told of as ended counts for this part of its aim
+	leaseAim    = 1.0                   // an attempt not told of as ended counts for this part of its aim
 	mostPace    = 12.0                  // most a server's pace is taken for
-	gateAim     = 0.75                  // mean latency over aim above which the gate closes
+	gateAim     = 0.4                   // mean latency over aim above which the gate closes
 	gateCut     = 0.07                  // by this part at each outcome
 	gateGrow    = 0.02                  // and else opens by this at each tick
-	strainSpan  = 0.1                  // weight of an outcome in the strain
+	strainSpan  = 0.1                   // weight of an outcome in the strain
 	strainTold  = 0.05                  // and of what a root tells of its own
 	sightLimit  = 0.45                  // average of failures that puts a server out of use for a class
 	sightWeight = 0.15                  // weight of an outcome in a watcher's averages
@@ -343,6 +344,10 @@
 	r.deadline = g.now + ev.Remaining
 	g.reqs[r.id], c.seen = r, g.now
 	c.rate += ev.Units
+	if ev.Remaining <= 2*g.set.Resolution {
+		g.refuse(r) // any wait would be too long for an answer in time
+		return
+	}
 	if len(c.ask) == 0 {
 		g.admit(r)
 		return
@@ -744,7 +749,7 @@
 func (g *Gateway) draw(ok []*server) *server {
 	sum := 0.0
 	for _, s := range ok {
-		s.weight = g.sizeOf(s) / max(s.slow, 0.1) / float64(1+s.out)
+		s.weight = g.sizeOf(s) / max(s.slow, 1) / float64(1+s.out)
 		if s.Zone != g.set.Zone {
 			s.weight *= otherZone
 		}
@@ -952,7 +957,7 @@
 		}
 		g.drain(c, n)
 	}
-	if g.set.CanTell {
+	if g.set.CanTell && (!g.tree || g.ticks%rootTicks == 0) {
 		g.report()
 	}
 }
@@ -1142,8 +1147,8 @@
 	if r.asked == 0 && g.now < c.lostUntil {
 		r.asked = rootAsks
 	}
-	if delete(g.asks, r.tag); r.asked > rootAsks {
-		if r.waits || c.plan.HardRate > 0 || !g.within(r) || !g.try(r) {
+	if delete(g.asks, r.tag); r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline {
+		if r.waits || g.now >= r.deadline || c.plan.HardRate > 0 || !g.within(r) || !g.try(r) {
 			g.refuse(r)
 		}
 		return
@@ -1242,7 +1247,7 @@
 	if r.c.store < retryReserve*r.c.plan.Burst {
 		part = min(1, r.c.plan.Rate*demandSpan.Seconds()/max(r.c.rate, 1))
 	}
-	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(250 * part), small(100 * g.strain)})})
+	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(100 * g.strain), small(250 * part)})})
 }
 
 func (g *Gateway) onAnswer(from int, m answer) {
