--- /dev/null
+++ b/policy/gateway.go
@@ -0,0 +1,150 @@
+package policy
+
+// How events reach the decisions of policy.go, and the lists they work on.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Handle takes one event at a time and appends what is to be done to out.
+func (g *Gateway) Handle(now time.Duration, ev Event, out []Action) []Action {
+	g.now, g.acts = now, out
+	if !g.begun {
+		g.begun, g.start, g.lastTick = true, now, now
+		g.do(SetTimer{Token: "tick", After: time.Duration(g.rng.Int64N(int64(g.tick))) + 1})
+		g.watch()
+	}
+	switch ev := ev.(type) {
+	case Request:
+		g.onRequest(ev)
+	case Outcome:
+		g.onOutcome(ev)
+	case Started:
+		if r := g.reqs[ev.ID]; r != nil && r.attempts == ev.Attempt+1 && r.srv != nil {
+			r.stream, r.srv.okAt = true, now
+		}
+	case Gone:
+		if r := g.reqs[ev.ID]; r != nil {
+			g.close(r)
+		}
+	case Timer:
+		if ev.Token == "tick" && now > g.lastTick {
+			g.onTick()
+		}
+		if ev.Token == "ask" {
+			g.onAskTimer()
+		}
+	case PeerMessage:
+		g.onPeer(ev)
+	case Members:
+		g.onMembers(ev)
+	}
+	out, g.acts = g.acts, nil
+	return out
+}
+
+func (g *Gateway) onMembers(ev Members) {
+	if ev.Kind == AskFailed {
+		g.asked = false
+		return
+	}
+	if ev.Kind != Changes {
+		for _, s := range g.fleet {
+			s.State = Removed
+		}
+	}
+	for _, m := range ev.Servers {
+		s := g.servers[m.ID]
+		if s == nil {
+			h := uint32(m.ID) * 0x9e3779b1 >> (32 - serverBits)
+			s = &server{hash: uint16(h), slow: 1, wait: minEject, pace: 1, verdicts: verdictKeep, verdictAt: g.now, by: make([]record, len(g.set.Classes)),
+				fullAt: map[*quota]time.Duration{}, watchers: [2]int{int(h) % g.set.Gateways, int(h+1) % g.set.Gateways}}
+			g.servers[m.ID] = s
+			g.fleet = append(g.fleet, s)
+		} else if m.HasStart && m.Start != s.Start {
+			s.bad, s.errs, s.slow, s.wait, s.pace = false, 0, 1, minEject, 1
+			clear(s.by)
+		}
+		s.Server = m
+	}
+	g.size = 0
+	for _, s := range g.fleet {
+		g.size += s.Weight / float64(len(g.fleet))
+	}
+	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (g *Gateway) onPeer(ev PeerMessage) {
+	if ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me {
+		return
+	}
+	switch m := decode(ev.Data).(type) {
+	case ask:
+		g.onAsk(ev.From, m)
+	case answer:
+		g.onAnswer(ev.From, m)
+	case ended:
+		g.onEnded(ev.From, m)
+	case sight:
+		if s := g.servers[ServerID(m.Server)]; s != nil && slices.Contains(s.watchers[:], g.set.Me) && int(m.Class) < len(s.by) {
+			g.gather(s, int(m.Class), Code(m.Code), time.Duration(m.Latency)*time.Millisecond)
+		}
+	case verdict:
+		g.onVerdict(m)
+	case report:
+		g.onReport(g.peers[ev.From], m)
+	}
+}
+
+func (g *Gateway) close(r *request) {
+	r.over = true
+	if i := slices.Index(r.c.held, r); i >= 0 {
+		g.unhold(r.c, i)
+	}
+	if r.remote || r.srv != nil {
+		return
+	}
+	delete(g.reqs, r.id)
+	delete(g.asks, r.tag)
+	if r.granted && (r.c.plan.Open > 0 || !r.counted) {
+		r.granted = false
+		g.do(Tell{To: r.root, Data: encode(ended{r.c.key, r.tag, !r.counted})})
+	}
+}
+
+// release lets held requests go at an outcome: the customer's own while its
+// live count and the heard means stay under the cap, then others that waited
+// for a server.
+func (g *Gateway) release(c *customer) {
+	if !g.drain(c, 1<<30) || len(g.waiting) == 0 {
+		return
+	}
+	rest := slices.Clone(g.waiting)
+	slices.SortStableFunc(rest, func(a, b *customer) int {
+		return cmp.Compare(a.held[0].arrived, b.held[0].arrived)
+	})
+	for _, w := range rest {
+		if w != c && !g.drain(w, 1) {
+			return
+		}
+	}
+}
+
+// onAskTimer asks again, elsewhere, for what was not answered.
+func (g *Gateway) onAskTimer() {
+	list := g.asking
+	g.asking = nil
+	for _, r := range list {
+		switch {
+		case r.over || r.granted || g.asks[r.tag] != r:
+		case g.now < r.until:
+			g.asking = append(g.asking, r)
+		case r.waits:
+			g.refuse(r)
+		default:
+			g.ask(r)
+		}
+	}
+}
--- /dev/null
+++ b/policy/messages.go
@@ -0,0 +1,175 @@
+package policy
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+)
+
+// The short messages of a large fleet. On the wire: version, kind, fields.
+
+// ask asks a customer's root to count a request.
+type ask struct {
+	Customer      uint64
+	First, Spread uint16
+	Plan, Class   byte
+	Units, Left   uint16 // Left: milliseconds until the client gives up
+	Tag           uint32
+	Thin          byte // with what chance it was asked for, 250 certain
+	Fill          byte // of the store as last heard, 250 full
+	Repeat        bool
+}
+
+// answer is the root's.
+type answer struct {
+	Tag           uint32
+	Verdict, Fill byte
+	Strain        byte // the root's latency over aim, 100 alike
+	Part          byte // of what is asked for fits, 250 all
+}
+
+const (
+	granted byte = iota
+	refused
+	waits // held at the root, another answer follows
+)
+
+// ended tells the root that a granted attempt is over, or was never made.
+type ended struct {
+	Customer uint64
+	Tag      uint32
+	Unused   bool
+}
+
+// sight tells a server's watcher of an outcome.
+type sight struct {
+	Server  uint32
+	Class   byte
+	Code    byte
+	Latency uint16 // milliseconds
+}
+
+// verdict is the watcher's on a server and class, for all.
+type verdict struct {
+	Server uint32
+	Bad    byte // a bit for each of the first classes
+	Pace   byte // latency against the fleet's: 16 * (4 + its log2)
+}
+
+const shortVersion = 3
+
+func encode(m any) []byte {
+	var kind byte
+	switch m.(type) {
+	case answer:
+		kind = 1
+	case ended:
+		kind = 2
+	case sight:
+		kind = 3
+	case verdict:
+		kind = 4
+	}
+	b, err := binary.Append([]byte{shortVersion, kind}, binary.BigEndian, m)
+	if err != nil {
+		panic(err) // not a message of this file
+	}
+	return b
+}
+
+// decode reads a message; it is nil for anything but a whole, well-formed one.
+func decode(b []byte) any {
+	if len(b) < 2 || b[0] != shortVersion {
+		if m, ok := decodeReport(b); ok {
+			return m
+		}
+		return nil
+	}
+	switch b[1] {
+	case 0:
+		return fixed[ask](b[2:])
+	case 1:
+		return fixed[answer](b[2:])
+	case 2:
+		return fixed[ended](b[2:])
+	case 3:
+		return fixed[sight](b[2:])
+	case 4:
+		return fixed[verdict](b[2:])
+	}
+	return nil
+}
+
+func fixed[T any](b []byte) any {
+	var m T
+	if n, err := binary.Decode(b, binary.BigEndian, &m); err != nil || n != len(b) {
+		return nil
+	}
+	return m
+}
+
+// onEnded frees what a member's attempt held, and gives back what it never used.
+func (g *Gateway) onEnded(from int, m ended) {
+	c := g.customers[m.Customer]
+	if c == nil {
+		return
+	}
+	l, ok := c.leases[lease{from, m.Tag}]
+	if !ok {
+		return
+	}
+	delete(c.leases, lease{from, m.Tag})
+	c.count(g.now, -1)
+	g.advance(c)
+	if m.Unused {
+		c.store = min(c.plan.Burst, c.store+l.r.units)
+	}
+	g.release(c)
+}
+
+func (g *Gateway) record(s *server, cl *class) *record {
+	if !g.tree || cl.no >= len(s.by) || cl.Name == "" {
+		return nil
+	}
+	return &s.by[cl.no]
+}
+
+func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
+	if !g.tree || cl.Name == "" {
+		return
+	}
+	for i, w := range s.watchers {
+		if i > 0 && code != ConnectFailed {
+			break
+		}
+		if w == g.set.Me {
+			g.gather(s, cl.no, code, latency)
+			continue
+		}
+		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
+		g.do(Tell{To: w, Data: encode(sight{uint32(s.ID), byte(cl.no), byte(code), ms})})
+	}
+}
+
+func (g *Gateway) onVerdict(m verdict) {
+	s := g.servers[ServerID(m.Server)]
+	if s == nil {
+		return
+	}
+	for i := range s.by {
+		s.by[i].bad, s.by[i].until = m.Bad>>i&1 == 1, g.now+verdictLife
+	}
+	s.slow = math.Exp2(float64(m.Pace)/16 - 4)
+}
+
+// askOf makes the message that asks for a request.
+func (g *Gateway) askOf(r *request) ask {
+	c, left := r.c, (r.deadline - g.now).Milliseconds()
+	m := ask{Customer: c.key, First: uint16(c.first), Spread: uint16(c.spread), Plan: c.plan.no,
+		Class: byte(r.cl.no), Units: uint16(r.units), Left: uint16(min(max(0, left), math.MaxUint16)),
+		Tag: r.tag, Repeat: r.repeat, Fill: unknownStore, Thin: small(250 * r.asks)}
+	if c.told > 0 {
+		m.Fill = small(250 * max(0, c.store) / max(1, c.plan.Burst))
+	}
+	return m
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,7 +10,6 @@
 package policy
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -26,11 +25,9 @@
 	leastWeight      = 0.33                  // but this part of it is never
 	demandSpan       = 2 * time.Second       // memory of the demand rates
 	blindExtra       = 25 * time.Millisecond // time a report travels
+	untold           = 0.01                  // what a tick without being told adds to a customer's place in the report
 	repeatTicks      = 3                     // a change is told in this many reports
 
-	strainAim          = 0.4  // mean latency over aim above which this gateway takes back its attempts
-	strainCut          = 0.02 // by this part at each outcome
-	strainGrow         = 0.1  // and below which it adds this much
 	choices            = 4    // servers compared for an attempt
 	queueWeight        = 0.5  // what each attempt out adds to a server's latency, in service times
 	waitAim            = 0.15 // a server is full when the wait there passes this part of the shortest aim
@@ -44,13 +41,11 @@
 	ejectShare         = 0.34 // at most this share of the fleet is ejected
 	slowSpan           = 10 * time.Second
 	fullFor            = 2 * time.Second
-	ghostLife          = 6 * time.Second // given-up work is taken to be done by then
 	minEject, maxEject = time.Second, 8 * time.Second
 	idleAfter          = 10 * time.Minute // a customer not seen for so long is forgotten
 	retryEarn          = 0.15             // retry budget earned by each first attempt
 	retryCap           = 12.0             // most of it kept
 	coldSafety         = 0.5              // part of the cold budget used
-	giftRoom           = 0.5              // a ceiling part above this share of its size may be given
 
 	// Where reports from all to all are more than the mail bears.
 	rootMail    = 0.5                   // part of a gateway's mail intake that one customer may fill
@@ -68,10 +63,12 @@
 	leaseAim    = 1.0                   // an attempt not told of as ended counts for this part of its aim
 	mostPace    = 12.0                  // most a server's pace is taken for
 	gateAim     = 0.4                   // mean latency over aim above which the gate closes
-	gateCut     = 0.07                  // by this part at each outcome
-	gateGrow    = 0.02                  // and else opens by this at each tick
-	strainSpan  = 0.1                   // weight of an outcome in the strain
-	strainTold  = 0.05                  // and of what a root tells of its own
+	gateShut    = 3 * time.Second       // to 1/e of it in this time
+	gateOpen    = 8 * time.Second       // and else opens all the way in this
+	gateLeast   = 0.03                  // never closer than this
+	strainLife  = 12 * time.Second      // how fast an old strain is forgotten
+	strainTold  = 0.15                  // weight of the strain a root tells of
+	strainOwn   = 0.15                  // and of an outcome here
 	sightLimit  = 0.45                  // average of failures that puts a server out of use for a class
 	sightWeight = 0.15                  // weight of an outcome in a watcher's averages
 	paceStep    = 1.7                   // a server's pace is told when it changed by this factor
@@ -81,6 +78,8 @@
 	verdictLife = 8 * time.Second       // a verdict not told again lapses
 	otherZone   = 0.7                   // weight of a server in another zone
 	mostOut     = 0.7                   // verdicts against more servers than this part are not heeded
+	leastLate   = 0.1                   // but not before this part of the aim
+	silentAge   = 3.0                   // an attempt so many times as old as predicted shows silence, twice as old for two
 	overdue     = 4.0                   // an attempt this many times as old as predicted counts as failed
 )
 
@@ -91,7 +90,7 @@
 		return nil, err
 	}
 	g := newGateway(s, seed)
-	g.budget, g.limit, g.minAim = retryCap, math.Inf(1), math.Inf(1)
+	g.budget, g.minAim = retryCap, math.Inf(1)
 	for _, c := range g.set.Classes {
 		g.classes[c.Name].mean = c.Aim.Seconds() / firstGuess
 		g.mean, g.minAim = g.classes[c.Name].mean, min(g.minAim, c.Aim.Seconds())
@@ -110,43 +109,6 @@
 	return g, nil
 }
 
-// Handle takes one event at a time and appends what is to be done to out.
-func (g *Gateway) Handle(now time.Duration, ev Event, out []Action) []Action {
-	g.now, g.acts = now, out
-	if !g.begun {
-		g.begun, g.start, g.lastTick = true, now, now
-		g.do(SetTimer{Token: "tick", After: time.Duration(g.rng.Int64N(int64(g.tick))) + 1})
-		g.watch()
-	}
-	switch ev := ev.(type) {
-	case Request:
-		g.onRequest(ev)
-	case Outcome:
-		g.onOutcome(ev)
-	case Started:
-		if r := g.reqs[ev.ID]; r != nil && r.attempts == ev.Attempt+1 && r.srv != nil {
-			r.stream, r.srv.okAt = true, now
-		}
-	case Gone:
-		if r := g.reqs[ev.ID]; r != nil {
-			g.close(r)
-		}
-	case Timer:
-		if ev.Token == "tick" && now > g.lastTick {
-			g.onTick()
-		}
-		if ev.Token == "ask" {
-			g.onAskTimer()
-		}
-	case PeerMessage:
-		g.onPeer(ev)
-	case Members:
-		g.onMembers(ev)
-	}
-	out, g.acts = g.acts, nil
-	return out
-}
-
 // Customers, their stores and their room.
 
 func (g *Gateway) customer(r *Request) *customer {
@@ -166,15 +128,10 @@
 func (g *Gateway) account(key uint64, plan *quota, first, spread int) *customer {
 	spread = max(1, min(spread, g.set.Gateways))
 	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), store: plan.Burst,
-		part: 1, first: first, spread: spread, at: g.now, areaAt: g.now}
+		part: 1, leases: map[lease]leased{}, first: first, spread: spread, at: g.now, areaAt: g.now}
 	roots, deputy := g.roots(c)
-	if mine := slices.Contains(roots, g.set.Me); mine || !g.tree {
-		for _, num := range roots {
-			if num != g.set.Me {
-				v := &peerView{p: g.peer(num), ceiling: -1}
-				c.set, v.p.views = append(c.set, v), append(v.p.views, v)
-			}
-		}
+	if slices.Contains(roots, g.set.Me) || !g.tree {
+		g.views(c, roots)
 	} else if plan.Rate > 0 || plan.Open > 0 {
 		c.ask = []int{roots[g.set.Me%len(roots)], deputy}
 	}
@@ -192,13 +149,7 @@
 	// The ceiling's own part starts empty at the gateway's start: after a
 	// restart it must not be granted a second time.
 	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
-	g.customers[c.key] = c
-	if _, twice := g.byHash[c.hash]; twice {
-		g.byHash[c.hash] = nil // two of one short hash: no report is taken for either
-	} else {
-		g.byHash[c.hash] = c
-	}
-	g.ring = append(g.ring, c)
+	g.enter(c)
 	return c
 }
 
@@ -348,6 +299,10 @@
 		g.refuse(r) // any wait would be too long for an answer in time
 		return
 	}
+	if g.rng.Float64() > g.gate {
+		g.refuse(r)
+		return
+	}
 	if len(c.ask) == 0 {
 		g.admit(r)
 		return
@@ -359,7 +314,7 @@
 	if g.set.MailPerSecond > 0 && c.plan.Rate > 0 {
 		r.asks = min(1, c.part*thinLeast+(g.now-c.partAt).Seconds()/thinSpan.Seconds())
 	}
-	if g.rng.Float64() > r.asks*g.gate {
+	if g.rng.Float64() > r.asks {
 		g.refuse(r)
 		return
 	}
@@ -417,14 +372,7 @@
 		g.refuse(r)
 		return
 	}
-	if len(r.c.held) == 0 {
-		g.waiting = append(g.waiting, r.c)
-	}
-	if r.counted {
-		r.c.held = slices.Insert(r.c.held, 0, r)
-	} else {
-		r.c.held = append(r.c.held, r)
-	}
+	g.queue(r)
 }
 
 // try sends the request to a server if one has room for it.
@@ -433,10 +381,7 @@
 		g.grant(r)
 		return true
 	}
-	var s *server
-	if float64(g.out) < g.limit {
-		s = g.pick(r)
-	}
+	s := g.pick(r)
 	if s == nil {
 		g.lackAt = g.now
 		return false
@@ -447,13 +392,8 @@
 		c.take(r)
 		g.budget = min(retryCap, g.budget+retryEarn)
 	}
-	c.count(g.now, 1)
 	c.fresh = repeatTicks
-	r.last = s
-	r.srv, r.sentAt, r.load, r.quit = s, g.now, g.load(s), false
-	r.attempts++
-	s.out, g.out = s.out+1, g.out+1
-	s.oldest = append(s.oldest, r)
+	g.sent(r, s)
 	if g.coldness(s) < 1 {
 		s.sends = append(s.sends, g.now)
 	} else {
@@ -470,22 +410,6 @@
 	return true
 }
 
-func (g *Gateway) close(r *request) {
-	r.over = true
-	if i := slices.Index(r.c.held, r); i >= 0 {
-		g.unhold(r.c, i)
-	}
-	if r.remote || r.srv != nil {
-		return
-	}
-	delete(g.reqs, r.id)
-	delete(g.asks, r.tag)
-	if r.granted && (r.c.plan.Open > 0 || !r.counted) {
-		r.granted = false
-		g.do(Tell{To: r.root, Data: encode(ended{r.c.key, r.tag, !r.counted})})
-	}
-}
-
 // refuse gives the final answer: a refusal where a retry is harmless.
 func (g *Gateway) refuse(r *request) {
 	if r.remote {
@@ -513,13 +437,8 @@
 	}
 	s, c := r.srv, r.c
 	g.advance(c)
-	r.srv, r.stream = nil, false
-	s.out, g.out = s.out-1, g.out-1
-	c.count(g.now, -1)
 	c.fresh = repeatTicks
-	if i := slices.Index(s.oldest, r); i >= 0 {
-		s.oldest = slices.Delete(s.oldest, i, i+1)
-	}
+	g.ended(r)
 	g.judge(s, r, ev)
 	if ev.Code == OK && ev.Actual > 0 && ev.Actual != r.units {
 		c.store -= ev.Actual - r.units
@@ -557,24 +476,6 @@
 	return g.budget >= 0
 }
 
-// release lets held requests go at an outcome: the customer's own while its
-// live count and the heard means stay under the cap, then others that waited
-// for a server.
-func (g *Gateway) release(c *customer) {
-	if !g.drain(c, 1<<30) || len(g.waiting) == 0 {
-		return
-	}
-	rest := slices.Clone(g.waiting)
-	slices.SortStableFunc(rest, func(a, b *customer) int {
-		return cmp.Compare(a.held[0].arrived, b.held[0].arrived)
-	})
-	for _, w := range rest {
-		if w != c && !g.drain(w, 1) {
-			return
-		}
-	}
-}
-
 // drain sends up to n of a customer's held requests, oldest first. It is false
 // when no server had room.
 func (g *Gateway) drain(c *customer, n int) bool {
@@ -598,37 +499,6 @@
 
 // Servers.
 
-func (g *Gateway) onMembers(ev Members) {
-	if ev.Kind == AskFailed {
-		g.asked = false
-		return
-	}
-	if ev.Kind != Changes {
-		for _, s := range g.fleet {
-			s.State = Removed
-		}
-	}
-	for _, m := range ev.Servers {
-		s := g.servers[m.ID]
-		if s == nil {
-			h := uint32(m.ID) * 0x9e3779b1 >> (32 - serverBits)
-			s = &server{hash: uint16(h), slow: 1, wait: minEject, pace: 1, verdicts: verdictKeep, verdictAt: g.now, by: make([]record, len(g.set.Classes)),
-				fullAt: map[*quota]time.Duration{}, watcher: int(h) % g.set.Gateways}
-			g.servers[m.ID] = s
-			g.fleet = append(g.fleet, s)
-		} else if m.HasStart && m.Start != s.Start {
-			s.bad, s.errs, s.slow, s.wait, s.pace = false, 0, 1, minEject, 1
-			clear(s.by)
-		}
-		s.Server = m
-	}
-	g.size = 0
-	for _, s := range g.fleet {
-		g.size += s.Weight / float64(len(g.fleet))
-	}
-	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-}
-
 // coldness is the least share of its capacity a server surely has.
 func (g *Gateway) coldness(s *server) float64 {
 	if !s.HasStart || g.set.WarmWithin <= 0 || g.set.ColdShare <= 0 {
@@ -641,12 +511,7 @@
 // load is the attempts out at a server: own, and the peers' as last reported,
 // or its own load report where that says more.
 func (g *Gateway) load(s *server) float64 {
-	sum := float64(s.out)
-	sum += s.heard + float64(len(s.ghosts))
-	if s.loadAt > 0 && g.now-s.loadAt < time.Second {
-		sum = max(sum, s.load*0.7)
-	}
-	return sum
+	return float64(s.out) + s.heard
 }
 
 // predict is the latency in seconds expected of a server for a class.
@@ -707,7 +572,7 @@
 		}
 		if v := g.record(s, r.cl); v != nil && v.bad && g.now < v.until {
 			// Its watcher alone tries a server that is out of use.
-			if s.watcher == g.set.Me && g.now >= v.trial && r.attempts == 0 && r.cl.Effect != Unsafe {
+			if s.watchers[0] == g.set.Me && g.now >= v.trial && r.attempts == 0 && r.cl.Effect != Unsafe {
 				v.trial = g.now + trialEvery
 				return s
 			}
@@ -745,41 +610,35 @@
 
 // draw chooses a server by its share of the fleet's capacity. A large fleet's
 // gateways don't see the load there; were each to take the best of a few, all
-// would crowd onto the same servers.
+// would crowd onto the same servers. However slow the warm ones are, a cold one
+// gets no more than its budget of an even share; what is left over waits.
 func (g *Gateway) draw(ok []*server) *server {
-	sum := 0.0
+	all := 0.0
 	for _, s := range ok {
 		s.weight = g.sizeOf(s) / max(s.slow, 1) / float64(1+s.out)
 		if s.Zone != g.set.Zone {
 			s.weight *= otherZone
 		}
-		if cold := g.coldness(s); cold < 1 {
-			s.weight *= cold * coldSafety
-		}
-		sum += s.weight
+		s.weight *= min(1, g.coldness(s))
+		all += s.weight
 	}
-	at := g.rng.Float64() * sum
+	least := 0.0
 	for _, s := range ok {
-		if at -= s.weight; at < 0 {
-			return s
+		if cold := g.coldness(s); cold < 1 {
+			s.weight = min(s.weight, cold*coldSafety*all/float64(len(ok)))
+			least = max(least, s.weight*float64(len(ok))/(cold*coldSafety*max(1, g.set.FallMultiple)))
 		}
 	}
-	return nil
+	return g.byWeight(ok, least)
 }
 
 // judge learns from an outcome: latency, errors, load reports.
 func (g *Gateway) judge(s *server, r *request, ev Outcome) {
-	if len(ev.Load) == len(g.set.ReportNames) && len(g.loadCols) > 0 && ev.Load != nil {
-		s.load, s.loadAt = 0, g.now
-		for _, i := range g.loadCols {
-			s.load += ev.Load[i]
-		}
-	}
 	if ev.Code != Moot && ev.Code != Cancelled {
 		g.sight(s, r.cl, ev.Code, ev.Latency)
 	}
 	if ev.Code == OK || ev.Code == TimedOut {
-		g.adapt(min(1, ev.Latency.Seconds()/r.cl.Aim.Seconds()))
+		g.strain += strainOwn * (min(1, ev.Latency.Seconds()/r.cl.Aim.Seconds()) - g.strain)
 	}
 	switch ev.Code {
 	case OK:
@@ -791,7 +650,6 @@
 			s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
 		}
 		g.mean += learn * 0.3 * (r.cl.mean - g.mean)
-		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return t < r.sentAt })
 		w := learn * 0.3
 		if r.cl.seen++; g.tree {
 			w = max(w, 1/(r.cl.seen+1)) // few outcomes come here: the first count for more
@@ -811,9 +669,7 @@
 	case Moot:
 		return
 	case Cancelled, TimedOut:
-		// The work may still run, ahead of what is sent later, until a later
-		// attempt ends. Silence tells hung servers from slow ones, not this.
-		s.ghosts = append(s.ghosts, r.sentAt)
+		// Silence tells hung servers from slow ones, not this.
 		seen := ev.Latency.Seconds() / r.cl.mean / (1 + queueWeight*r.load/g.sizeOf(s))
 		if !g.tree {
 			s.slow += learn * (min(max(seen, s.slow), 12) - s.slow)
@@ -827,26 +683,16 @@
 	}
 }
 
-// adapt moves the cap on this gateway's attempts out by how near latencies
-// come to their aims. Guards against load it is not told of, on all servers:
-// peers unheard, slow fleets. Harms where aims are near idle latencies.
-func (g *Gateway) adapt(strain float64) {
-	if g.tree {
-		// With an attempt or two out there is none to take back: a part of the
-		// requests is refused.
-		g.strain += strainSpan * (strain - g.strain)
-		if g.strain > gateAim {
-			g.gate = max(gateGrow, g.gate*(1-gateCut))
-		}
-		return
-	}
-	g.strain += learn * 0.5 * (strain - g.strain)
-	least := max(2, float64(len(g.fleet))/float64(g.set.Gateways))
-	if g.strain > strainAim {
-		g.limit = max(least, g.limit*(1-strainCut))
+// adapt moves the gate by how near latencies come to their aims: a part of the
+// requests is refused. Guards against load this gateway is not told of, on all
+// servers: peers unheard, slow fleets. Harms where aims are near idle latencies.
+func (g *Gateway) adapt(dt time.Duration) {
+	if g.strain > gateAim {
+		g.gate = max(gateLeast, g.gate*math.Exp(-dt.Seconds()/gateShut.Seconds()))
 	} else {
-		g.limit = min(g.limit+strainGrow, max(2*float64(g.out), 4*least))
+		g.gate = min(1, g.gate+dt.Seconds()/gateOpen.Seconds())
 	}
+	g.strain *= math.Exp(-dt.Seconds() / strainLife.Seconds())
 }
 
 // eject takes a server out of use for a while, unless too many are out.
@@ -866,40 +712,39 @@
 	s.wait = min(2*s.wait, maxEject)
 }
 
-// silence looks for servers that take work and answer none: attempts far
-// older than predicted and no success since the oldest was sent. They are
-// ejected and what can go elsewhere is called back.
+// silence looks for attempts far older than predicted. In a small fleet a
+// server with several of them and no success since is ejected; in a large one
+// each is told to its watcher. What can go elsewhere is called back.
 func (g *Gateway) silence(s *server) {
-	old := 0
-	for _, r := range slices.Clone(s.oldest) {
-		p := max(g.predict(s, r.cl), 0.1*r.cl.Aim.Seconds())
-		age := (g.now - r.sentAt).Seconds()
-		if g.tree && age > overdue*p && !r.quit && !r.stream && !r.over {
-			r.quit = true
-			g.sight(s, r.cl, TimedOut, g.now-r.sentAt)
-			if g.set.CanCancel && r.cl.Effect == Safe && g.budget >= 1 &&
-				(g.set.MaxAttempts == 0 || r.attempts < g.set.MaxAttempts) {
-				g.do(Cancel{ID: r.id, Attempt: r.attempts - 1})
-			}
+	old, late := 0, []*request(nil)
+	for _, r := range s.oldest {
+		age := (g.now - r.sentAt).Seconds() / max(g.predict(s, r.cl), leastLate*r.cl.Aim.Seconds())
+		if r.stream {
+			continue
 		}
-		if s.okAt <= r.sentAt && !r.stream && age > 3*p {
-			old++
-			if age > 6*p {
-				old++
-			}
+		if s.okAt <= r.sentAt {
+			old += min(2, int(age/silentAge))
+		}
+		if g.tree && age > overdue || !g.tree && g.now-r.sentAt > 2*g.tick {
+			late = append(late, r)
 		}
 	}
-	if old < 2 {
-		return
-	}
-	g.eject(s, false)
-	if !s.bad || !g.set.CanCancel {
-		return
+	if !g.tree {
+		if old < 2 {
+			return
+		}
+		if g.eject(s, false); !s.bad {
+			return
+		}
 	}
-	for _, r := range slices.Clone(s.oldest) {
-		if !r.over && !r.quit && !r.stream && r.cl.Effect == Safe && g.now-r.sentAt > 2*g.tick &&
-			(g.set.MaxAttempts == 0 || r.attempts < g.set.MaxAttempts) && g.budget >= 1 {
-			r.quit = true
+	for _, r := range late {
+		if r.over || r.quit {
+			continue
+		}
+		r.quit = true
+		g.sight(s, r.cl, TimedOut, g.now-r.sentAt)
+		if g.set.CanCancel && r.cl.Effect == Safe && g.budget >= 1 &&
+			(g.set.MaxAttempts == 0 || r.attempts < g.set.MaxAttempts) {
 			g.do(Cancel{ID: r.id, Attempt: r.attempts - 1})
 		}
 	}
@@ -920,25 +765,21 @@
 	}
 	if !g.tree {
 		g.sumLoads()
-	} else if g.strain -= gateGrow * g.strain; g.strain < gateAim {
-		g.gate = min(1, g.gate+gateGrow)
 	}
+	g.adapt(dt)
 	for _, s := range g.fleet {
-		s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Duration) bool { return g.now-t > ghostLife })
 		// What is not tried is not learned: an old judgement wears off.
 		s.slow += (1 - s.slow) * min(1, dt.Seconds()/slowSpan.Seconds())
+		for i := range s.by {
+			s.by[i].errs -= s.by[i].errs * min(1, dt.Seconds()/slowSpan.Seconds())
+		}
 		g.silence(s)
-		if s.watcher == g.set.Me {
+		if slices.Contains(s.watchers[:], g.set.Me) {
 			g.tell(s)
 		}
 	}
 	for _, c := range g.ring {
-		for l, v := range c.leases {
-			if g.now > v.until {
-				delete(c.leases, l)
-				c.count(g.now, -1)
-			}
-		}
+		c.expire(g.now)
 		c.count(g.now, 0)
 		c.mean, c.area = c.area/dt.Seconds(), 0
 	}
@@ -974,132 +815,15 @@
 
 // Reports between gateways; report.go lays them out.
 
-func (g *Gateway) report() {
-	g.seq++
-	var list []*customer
-	for _, c := range g.ring {
-		if len(c.set) > 0 && (c.out > 0 || c.mean > 0 || len(c.held) > 0 || c.fresh > 0) {
-			list = append(list, c)
-		}
-	}
-	// Busiest first: held, and units not told yet, against what may be used at
-	// once; then those not told for longest.
-	for _, c := range list {
-		c.urgency = float64(len(c.held)) + float64(c.passed-c.toldUnits)/(c.plan.Burst+1) +
-			0.01*float64(g.ticks-c.told)
-	}
-	slices.SortStableFunc(list, func(a, b *customer) int { return cmp.Compare(b.urgency, a.urgency) })
-	for _, p := range g.peers {
-		if p != nil && p.num != g.set.Me && (!g.tree || len(list) > 0) {
-			if m := g.message(p, list); !g.tree || len(m.customers) > 0 {
-				g.do(Tell{To: p.num, Data: m.encode()})
-			}
-		}
-	}
-	for _, c := range list {
-		if c.told == g.ticks {
-			c.fresh, c.toldUnits = max(0, c.fresh-1), c.passed
-		}
-	}
-}
-
-// message makes the report for one peer: the servers this gateway has attempts
-// out at, then the customers that come in through both, busiest first.
-func (g *Gateway) message(p *peer, list []*customer) *report {
-	m := &report{inc: g.inc, seq: g.seq, complete: true}
-	for _, s := range g.fleet {
-		if s.out > 0 && len(m.servers) < maxServers && !g.tree {
-			m.servers = append(m.servers, serverOut{s.hash, byte(min(s.out, maxOut))})
-		}
-	}
-	for _, c := range list {
-		i := slices.IndexFunc(c.set, func(v *peerView) bool { return v.p == p })
-		if i < 0 {
-			continue
-		}
-		if !m.fits() {
-			m.complete = false
-			break
-		}
-		g.advance(c)
-		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
-			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
-			passed: byte(c.passed), store: unknownStore,
-			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
-		if c.known && c.plan.Burst > 0 {
-			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
-		}
-		if c.plan.HardRate > 0 {
-			e.ceiling, e.gift = true, g.gift(c, c.set[i])
-			e.level = small(250 * max(0, c.ceiling) * c.n / c.plan.HardBurst)
-		}
-		m.customers = append(m.customers, e)
-		c.told = g.ticks
-	}
-	return m
-}
-
-// gift takes units of the ceiling's own part for a peer that has less: at
-// most what one tick refills, so that what is in flight stays small. It is
-// taken off before it is sent; lost, it is room lost, never room made.
-func (g *Gateway) gift(c *customer, v *peerView) byte {
-	size := c.plan.HardBurst / c.n
-	if v.ceiling < 0 || g.silent(v.p) || c.ceiling < giftRoom*size || v.ceiling > giftRoom {
-		return 0
-	}
-	units := c.plan.HardRate / c.n * g.tick.Seconds()
-	n := byte(min(255, math.Floor(units*32)))
-	c.ceiling -= float64(n) / 32
-	return n
+// news tells whether peers must hear of a customer.
+func (c *customer) news() bool {
+	return len(c.set) > 0 && (c.out > 0 || c.mean > 0 || len(c.held) > 0 || c.fresh > 0)
 }
 
-func (g *Gateway) onPeer(ev PeerMessage) {
-	if ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me {
-		return
-	}
-	switch m := decode(ev.Data).(type) {
-	case ask:
-		g.onAsk(ev.From, m)
-	case answer:
-		g.onAnswer(ev.From, m)
-	case ended:
-		g.onEnded(ev.From, m)
-	case sight:
-		if s := g.servers[ServerID(m.Server)]; s != nil && s.watcher == g.set.Me && int(m.Class) < len(s.by) {
-			g.gather(s, int(m.Class), Code(m.Code), time.Duration(m.Latency)*time.Millisecond)
-		}
-	case verdict:
-		g.onVerdict(m)
-	case report:
-		g.onReport(g.peers[ev.From], m)
-	}
-}
-
-func (g *Gateway) onReport(p *peer, m report) {
-	if p == nil {
-		return
-	}
-	if p.heard && p.inc == m.inc && int32(m.seq-p.seq) <= 0 {
-		return // old or repeated: the later report holds all it said
-	}
-	if m.complete || p.inc != m.inc {
-		for _, v := range p.views {
-			v.out, v.held = 0, 0
-		}
-	}
-	p.heard, p.inc, p.seq, p.at, p.complete = true, m.inc, m.seq, g.now, m.complete
-	p.outs = map[uint16]float64{}
-	for _, o := range m.servers {
-		p.outs[o.hash] = float64(o.out)
-	}
-	if !g.tree {
-		g.sumLoads()
-	}
-	for _, e := range m.customers {
-		if c := g.byHash[e.hash]; c != nil {
-			g.hear(c, p, e)
-		}
-	}
+// urgent orders a report, busiest first: held, and units not told yet, against
+// what may be used at once; then those not told for longest.
+func (g *Gateway) urgent(c *customer) float64 {
+	return float64(len(c.held)) + float64(c.passed-c.toldUnits)/(c.plan.Burst+1) + untold*float64(g.ticks-c.told)
 }
 
 // hear takes in what a peer says of a customer. Running totals heal lost
@@ -1112,10 +836,7 @@
 	g.advance(c)
 	v := c.set[i]
 	v.at, v.rate = g.now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
-	v.out, v.held, v.ceiling = math.Pow(float64(e.out)/outScale, 2), float64(e.held), -1
-	if e.ceiling {
-		v.ceiling = min(1, float64(e.level)/250)
-	}
+	v.out, v.held = math.Pow(float64(e.out)/outScale, 2), float64(e.held)
 	if v.heard && v.inc != p.inc {
 		v.passed = 0
 	}
@@ -1130,9 +851,6 @@
 		c.known = true
 		c.store = min(c.store, float64(e.store)/250*c.plan.Burst)
 	}
-	if gift := float64(e.gift) / 32; c.plan.HardRate > 0 && gift <= c.plan.HardRate/c.n {
-		c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+gift)
-	}
 }
 
 // Asking the roots of a customer: where its counts are not here, a request
@@ -1171,34 +889,10 @@
 	r.until = min(g.now+wait, r.deadline-2*g.set.Resolution)
 	g.asks[r.tag] = r
 	g.asking = append(g.asking, r)
-	left := min(max(0, (r.deadline-g.now).Milliseconds()), math.MaxUint16)
-	m := ask{Customer: c.key, First: uint16(c.first), Spread: uint16(c.spread), Plan: c.plan.no,
-		Class: byte(r.cl.no), Units: uint16(r.units), Left: uint16(left), Tag: r.tag, Repeat: r.repeat,
-		Fill: unknownStore, Thin: small(250 * r.asks)}
-	if c.told > 0 {
-		m.Fill = small(250 * max(0, c.store) / max(1, c.plan.Burst))
-	}
-	g.do(Tell{To: r.root, Data: encode(m)})
+	g.do(Tell{To: r.root, Data: encode(g.askOf(r))})
 	g.do(SetTimer{Token: "ask", After: r.until - g.now})
 }
 
-// onAskTimer asks again, elsewhere, for what was not answered.
-func (g *Gateway) onAskTimer() {
-	list := g.asking
-	g.asking = nil
-	for _, r := range list {
-		switch {
-		case r.over || r.granted || g.asks[r.tag] != r:
-		case g.now < r.until:
-			g.asking = append(g.asking, r)
-		case r.waits:
-			g.refuse(r)
-		default:
-			g.ask(r)
-		}
-	}
-}
-
 // onAsk takes a member's request into the customer's counts as if it had come
 // in here.
 func (g *Gateway) onAsk(from int, m ask) {
@@ -1212,11 +906,10 @@
 			c.store = min(c.store, float64(m.Fill)/250*c.plan.Burst)
 		}
 	}
-	if l, again := c.leases[lease{from, m.Tag}]; again {
-		g.answer(l.r, granted)
-		return
-	}
-	if slices.ContainsFunc(c.held, func(r *request) bool { return r.remote && r.root == from && r.tag == m.Tag }) {
+	if r, held := c.asked(from, m.Tag); r != nil || held {
+		if r != nil {
+			g.answer(r, granted) // the first answer was lost
+		}
 		return
 	}
 	g.advance(c)
@@ -1232,9 +925,6 @@
 func (g *Gateway) grant(r *request) {
 	c := r.c
 	c.take(r)
-	if c.leases == nil {
-		c.leases = map[lease]leased{}
-	}
 	c.leases[lease{r.root, r.tag}] = leased{g.now + time.Duration(leaseAim*float64(r.cl.Aim)), r}
 	c.count(g.now, 1)
 	r.counted, r.over = true, true
@@ -1280,47 +970,10 @@
 	}
 }
 
-// onEnded frees what a member's attempt held, and gives back what it never used.
-func (g *Gateway) onEnded(from int, m ended) {
-	c := g.customers[m.Customer]
-	if c == nil {
-		return
-	}
-	l, ok := c.leases[lease{from, m.Tag}]
-	if !ok {
-		return
-	}
-	delete(c.leases, lease{from, m.Tag})
-	c.count(g.now, -1)
-	g.advance(c)
-	if m.Unused {
-		c.store = min(c.plan.Burst, c.store+l.r.units)
-	}
-	g.release(c)
-}
-
 // Watching servers: in a large fleet each meets a server too seldom to judge
 // it, so each server has a watcher among the gateways that is told outcomes
 // and tells all its verdicts, by class.
 
-func (g *Gateway) record(s *server, cl *class) *record {
-	if !g.tree || cl.no >= len(s.by) || cl.Name == "" {
-		return nil
-	}
-	return &s.by[cl.no]
-}
-
-func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
-	switch {
-	case !g.tree || cl.Name == "":
-	case s.watcher == g.set.Me:
-		g.gather(s, cl.no, code, latency)
-	default:
-		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
-		g.do(Tell{To: s.watcher, Data: encode(sight{uint32(s.ID), byte(cl.no), byte(code), ms})})
-	}
-}
-
 // gather adds an outcome to what the fleet knows of a server. One that turns
 // requests away is taken for very slow: it gets few more until it answers.
 func (g *Gateway) gather(s *server, class int, code Code, latency time.Duration) {
@@ -1331,6 +984,10 @@
 		v.errs -= sightWeight * v.errs
 	case Full:
 		seen = mostPace
+	case ConnectFailed:
+		for i := range s.by {
+			s.by[i].errs += 2 * sightWeight * (1 - s.by[i].errs)
+		}
 	default:
 		v.errs += sightWeight * (1 - v.errs)
 		seen = max(seen, s.pace)
@@ -1346,11 +1003,14 @@
 	each := g.set.MailPerSecond * verdictMail / float64(max(1, len(g.fleet)))
 	s.verdicts = min(verdictKeep, s.verdicts+each*(g.now-s.verdictAt).Seconds())
 	s.verdictAt = g.now
-	m := verdict{Server: uint32(s.ID), Pace: small(16 * (4 + math.Log2(max(s.pace, 0.1))))}
-	news, until := false, time.Duration(0)
+	m, news, until := verdict{Server: uint32(s.ID)}, false, time.Duration(0)
+	first := s.watchers[0] == g.set.Me
+	if !first {
+		s.pace = s.slow // the second knows only what it can't reach
+	}
 	for i := range s.by {
 		v := &s.by[i]
-		bad := v.errs > sightLimit || v.bad && v.errs > sightLimit/2
+		bad := v.errs > sightLimit || v.bad && (!first || v.errs > sightLimit/2)
 		if bad {
 			m.Bad |= 1 << i
 			until = v.until
@@ -1358,21 +1018,12 @@
 		news = news || bad != v.bad
 	}
 	change := max(s.pace/s.slow, s.slow/s.pace) > paceStep
-	if again := m.Bad != 0 && until-g.now < verdictLife/4; s.verdicts < 1 || !news && !change && !again {
+	again := first && m.Bad != 0 && until-g.now < verdictLife/4
+	if s.verdicts < 1 || !news && !change && !again {
 		return
 	}
+	m.Pace = small(16 * (4 + math.Log2(max(s.pace, 0.1))))
 	s.verdicts--
 	g.onVerdict(m)
 	g.do(Tell{To: -1, Data: encode(m)})
 }
-
-func (g *Gateway) onVerdict(m verdict) {
-	s := g.servers[ServerID(m.Server)]
-	if s == nil {
-		return
-	}
-	for i := range s.by {
-		s.by[i].bad, s.by[i].until = m.Bad>>i&1 == 1, g.now+verdictLife
-	}
-	s.slow = math.Exp2(float64(m.Pace)/16 - 4)
-}
--- a/policy/report.go
+++ b/policy/report.go
@@ -1,8 +1,11 @@
 package policy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
+	"math"
+	"slices"
 )
 
 // keyOf names a customer in messages, shortOf in reports.
@@ -14,108 +17,6 @@
 
 func shortOf(key uint64) uint32 { return uint32(key >> 40) }
 
-// The short messages of a large fleet. On the wire: version, kind, fields.
-
-// ask asks a customer's root to count a request.
-type ask struct {
-	Customer      uint64
-	First, Spread uint16
-	Plan, Class   byte
-	Units, Left   uint16 // Left: milliseconds until the client gives up
-	Tag           uint32
-	Thin          byte // with what chance it was asked for, 250 certain
-	Fill          byte // of the store as last heard, 250 full
-	Repeat        bool
-}
-
-// answer is the root's.
-type answer struct {
-	Tag           uint32
-	Verdict, Fill byte
-	Strain        byte // the root's latency over aim, 100 alike
-	Part          byte // of what is asked for fits, 250 all
-}
-
-const (
-	granted byte = iota
-	refused
-	waits // held at the root, another answer follows
-)
-
-// ended tells the root that a granted attempt is over, or was never made.
-type ended struct {
-	Customer uint64
-	Tag      uint32
-	Unused   bool
-}
-
-// sight tells a server's watcher of an outcome.
-type sight struct {
-	Server  uint32
-	Class   byte
-	Code    byte
-	Latency uint16 // milliseconds
-}
-
-// verdict is the watcher's on a server and class, for all.
-type verdict struct {
-	Server uint32
-	Bad    byte // a bit for each of the first classes
-	Pace   byte // latency against the fleet's: 16 * (4 + its log2)
-}
-
-const shortVersion = 3
-
-func encode(m any) []byte {
-	var kind byte
-	switch m.(type) {
-	case answer:
-		kind = 1
-	case ended:
-		kind = 2
-	case sight:
-		kind = 3
-	case verdict:
-		kind = 4
-	}
-	b, err := binary.Append([]byte{shortVersion, kind}, binary.BigEndian, m)
-	if err != nil {
-		panic(err) // not a message of this file
-	}
-	return b
-}
-
-// decode reads a message; it is nil for anything but a whole, well-formed one.
-func decode(b []byte) any {
-	if len(b) < 2 || b[0] != shortVersion {
-		if m, ok := decodeReport(b); ok {
-			return m
-		}
-		return nil
-	}
-	switch b[1] {
-	case 0:
-		return fixed[ask](b[2:])
-	case 1:
-		return fixed[answer](b[2:])
-	case 2:
-		return fixed[ended](b[2:])
-	case 3:
-		return fixed[sight](b[2:])
-	case 4:
-		return fixed[verdict](b[2:])
-	}
-	return nil
-}
-
-func fixed[T any](b []byte) any {
-	var m T
-	if n, err := binary.Decode(b, binary.BigEndian, &m); err != nil || n != len(b) {
-		return nil
-	}
-	return m
-}
-
 // report is what a gateway tells a peer once a tick. On the wire: version,
 // incarnation, sequence number, flags, number of servers, servers, customers.
 type report struct {
@@ -232,3 +133,88 @@
 	}
 	return m, true
 }
+
+// message makes the report for one peer: the servers this gateway has attempts
+// out at, then the customers that come in through both, busiest first.
+func (g *Gateway) message(p *peer, list []*customer) *report {
+	m := &report{inc: g.inc, seq: g.seq, complete: true}
+	for _, s := range g.fleet {
+		if s.out > 0 && len(m.servers) < maxServers && !g.tree {
+			m.servers = append(m.servers, serverOut{s.hash, byte(min(s.out, maxOut))})
+		}
+	}
+	for _, c := range list {
+		i := slices.IndexFunc(c.set, func(v *peerView) bool { return v.p == p })
+		if i < 0 {
+			continue
+		}
+		if !m.fits() {
+			m.complete = false
+			break
+		}
+		g.advance(c)
+		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
+			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
+			passed: byte(c.passed), store: unknownStore,
+			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
+		if c.known && c.plan.Burst > 0 {
+			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
+		}
+		m.customers = append(m.customers, e)
+		c.told = g.ticks
+	}
+	return m
+}
+
+func (g *Gateway) onReport(p *peer, m report) {
+	if p == nil {
+		return
+	}
+	if p.heard && p.inc == m.inc && int32(m.seq-p.seq) <= 0 {
+		return // old or repeated: the later report holds all it said
+	}
+	if m.complete || p.inc != m.inc {
+		for _, v := range p.views {
+			v.out, v.held = 0, 0
+		}
+	}
+	p.heard, p.inc, p.seq, p.at, p.complete = true, m.inc, m.seq, g.now, m.complete
+	p.outs = map[uint16]float64{}
+	for _, o := range m.servers {
+		p.outs[o.hash] = float64(o.out)
+	}
+	if !g.tree {
+		g.sumLoads()
+	}
+	for _, e := range m.customers {
+		if c := g.byHash[e.hash]; c != nil {
+			g.hear(c, p, e)
+		}
+	}
+}
+
+// report tells each peer what has changed.
+func (g *Gateway) report() {
+	g.seq++
+	var list []*customer
+	for _, c := range g.ring {
+		if c.news() {
+			c.urgency = g.urgent(c)
+			list = append(list, c)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *customer) int { return cmp.Compare(b.urgency, a.urgency) })
+	for _, p := range g.peers {
+		if p == nil || p.num == g.set.Me || g.tree && len(list) == 0 {
+			continue
+		}
+		if m := g.message(p, list); !g.tree || len(m.customers) > 0 {
+			g.do(Tell{To: p.num, Data: m.encode()})
+		}
+	}
+	for _, c := range list {
+		if c.told == g.ticks {
+			c.fresh, c.toldUnits = max(0, c.fresh-1), c.passed
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -75,15 +75,14 @@
 
 // peerView is what one other gateway last said of one customer.
 type peerView struct {
-	p       *peer
-	at      time.Duration
-	heard   bool
-	inc     uint32
-	out     float64
-	held    float64
-	passed  byte
-	rate    float64 // asked units, decayed
-	ceiling float64 // filling of its ceiling part, 0 to 1; below 0 unknown
+	p      *peer
+	at     time.Duration
+	heard  bool
+	inc    uint32
+	out    float64
+	held   float64
+	passed byte
+	rate   float64 // asked units, decayed
 }
 
 type peer struct {
@@ -143,11 +142,8 @@
 	slow   float64 // latency against the fleet's, at equal load
 	errs   float64 // average of errors
 	okAt   time.Duration
-	heard  float64         // attempts out there, as the peers last said
-	oldest []*request      // attempts out, oldest first
-	ghosts []time.Duration // when attempts were sent that were given up but may still run
-	load   float64         // last reported load
-	loadAt time.Duration
+	heard  float64                  // attempts out there, as the peers last said
+	oldest []*request               // attempts out, oldest first
 	fullAt map[*quota]time.Duration // until then it is taken to turn this plan away
 	bad    bool                     // ejected
 	dead   bool                     // because it could not be reached
@@ -157,7 +153,7 @@
 	sends  []time.Duration // while cold: recent sends
 
 	weight    float64  // in the draw at hand
-	watcher   int      // the gateway that judges it for all
+	watchers  [2]int   // the gateways that judge it for all; the second only whether it can be reached
 	by        []record // by class
 	verdicts  float64  // its watcher may send now
 	verdictAt time.Duration
@@ -188,13 +184,11 @@
 	peers     []*peer
 	budget    float64
 	out       int           // own attempts out, at all servers
-	limit     float64       // most of them
 	strain    float64       // average of latency over aim
 	lackAt    time.Duration // when a request last found no server with room
 	sendRate  float64       // own sends to warm servers, decayed over FallTime
 	acts      []Action
 	asked     bool
-	loadCols  []int
 	size      float64 // mean weight in the list
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
@@ -214,6 +208,95 @@
 	c.out += d
 }
 
+// sent and ended keep the lists of attempts out.
+func (g *Gateway) sent(r *request, s *server) {
+	r.c.count(g.now, 1)
+	r.srv, r.last, r.sentAt, r.load, r.quit = s, s, g.now, g.load(s), false
+	r.attempts++
+	s.out, g.out = s.out+1, g.out+1
+	s.oldest = append(s.oldest, r)
+}
+
+func (g *Gateway) ended(r *request) {
+	s := r.srv
+	r.srv, r.stream = nil, false
+	s.out, g.out = s.out-1, g.out-1
+	r.c.count(g.now, -1)
+	if i := slices.Index(s.oldest, r); i >= 0 {
+		s.oldest = slices.Delete(s.oldest, i, i+1)
+	}
+}
+
+// expire drops the leases that have run out.
+func (c *customer) expire(now time.Duration) {
+	for l, v := range c.leases {
+		if now > v.until {
+			delete(c.leases, l)
+			c.count(now, -1)
+		}
+	}
+}
+
+// asked finds a request that another gateway has asked for before: granted, or
+// held here.
+func (c *customer) asked(from int, tag uint32) (r *request, held bool) {
+	if l, ok := c.leases[lease{from, tag}]; ok {
+		return l.r, false
+	}
+	return nil, slices.ContainsFunc(c.held, func(r *request) bool {
+		return r.remote && r.root == from && r.tag == tag
+	})
+}
+
+// views makes room for what each of the others says of a customer.
+func (g *Gateway) views(c *customer, others []int) {
+	for _, num := range others {
+		if num != g.set.Me {
+			v := &peerView{p: g.peer(num)}
+			c.set, v.p.views = append(c.set, v), append(v.p.views, v)
+		}
+	}
+}
+
+// enter puts a customer in the tables. Two of one short hash can't be told
+// apart in reports: none is taken for either.
+func (g *Gateway) enter(c *customer) {
+	g.customers[c.key] = c
+	if _, twice := g.byHash[c.hash]; twice {
+		g.byHash[c.hash] = nil
+	} else {
+		g.byHash[c.hash] = c
+	}
+	g.ring = append(g.ring, c)
+}
+
+// byWeight draws a server by weight, of a sum of at least so much: none for the rest.
+func (g *Gateway) byWeight(list []*server, least float64) *server {
+	sum := 0.0
+	for _, s := range list {
+		sum += s.weight
+	}
+	at := g.rng.Float64() * max(sum, least)
+	for _, s := range list {
+		if at -= s.weight; at < 0 {
+			return s
+		}
+	}
+	return nil
+}
+
+// queue puts a request in its customer's queue, one with units taken first.
+func (g *Gateway) queue(r *request) {
+	if len(r.c.held) == 0 {
+		g.waiting = append(g.waiting, r.c)
+	}
+	if r.counted {
+		r.c.held = slices.Insert(r.c.held, 0, r)
+	} else {
+		r.c.held = append(r.c.held, r)
+	}
+}
+
 // unhold takes the i-th request out of its customer's queue.
 func (g *Gateway) unhold(c *customer, i int) {
 	c.held = slices.Delete(c.held, i, i+1)
@@ -247,11 +330,6 @@
 		g.classes[c.Name] = &class{Class: c, no: i}
 	}
 	g.peers = make([]*peer, s.Gateways)
-	for i, name := range s.ReportNames {
-		if name == LoadActive || name == LoadWaiting {
-			g.loadCols = append(g.loadCols, i)
-		}
-	}
 	return g
 }
 
