--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -18,12 +18,12 @@
 	}
 	switch ev := ev.(type) {
 	case Request:
-		g.onRequest(ev)
+		g.onRequest(g.arrive(ev))
 	case Outcome:
 		g.onOutcome(ev)
 	case Started:
 		if r := g.reqs[ev.ID]; r != nil && r.attempts == ev.Attempt+1 && r.srv != nil {
-			r.stream, r.srv.okAt = true, now
+			r.stream = true
 		}
 	case Gone:
 		if r := g.reqs[ev.ID]; r != nil {
@@ -59,12 +59,12 @@
 		s := g.servers[m.ID]
 		if s == nil {
 			h := uint32(m.ID) * 0x9e3779b1 >> (32 - serverBits)
-			s = &server{hash: uint16(h), slow: 1, wait: minEject, pace: 1, verdicts: verdictKeep, verdictAt: g.now, by: make([]record, len(g.set.Classes)),
-				fullAt: map[*quota]time.Duration{}, watchers: [2]int{int(h) % g.set.Gateways, int(h+1) % g.set.Gateways}}
+			s = &server{hash: uint16(h), slow: 1, pace: 1, verdicts: verdictKeep, verdictAt: g.now, by: make([]record, len(g.set.Classes)),
+				fullAt: map[*quota]time.Duration{}, watchers: g.watchers(h)}
 			g.servers[m.ID] = s
 			g.fleet = append(g.fleet, s)
 		} else if m.HasStart && m.Start != s.Start {
-			s.bad, s.errs, s.slow, s.wait, s.pace = false, 0, 1, minEject, 1
+			s.slow, s.pace = 1, 1
 			clear(s.by)
 		}
 		s.Server = m
@@ -82,7 +82,9 @@
 	}
 	switch m := decode(ev.Data).(type) {
 	case ask:
-		g.onAsk(ev.From, m)
+		if int(m.Plan) < len(g.set.Plans) && int(m.Class) < len(g.set.Classes) && m.Spread > 0 {
+			g.onAsk(ev.From, m)
+		}
 	case answer:
 		g.onAnswer(ev.From, m)
 	case ended:
@@ -148,3 +150,30 @@
 		}
 	}
 }
+
+// customer finds the customer of a request.
+func (g *Gateway) customer(r *Request) *customer {
+	key := keyOf(r.Customer)
+	if c := g.customers[key]; c != nil {
+		return c
+	}
+	plan := g.plans[r.Plan]
+	if plan == nil {
+		plan = &quota{Plan: Plan{Name: r.Plan}}
+	}
+	return g.account(key, plan, r.First, r.Spread)
+}
+
+// arrive enters a client's request. One of a class not in the settings is
+// taken for unsafe.
+func (g *Gateway) arrive(ev Request) *request {
+	c, cl := g.customer(&ev), g.classes[ev.Class]
+	if cl == nil {
+		cl = &class{Class: Class{Aim: ev.Remaining, Effect: Unsafe}, mean: g.mean}
+	}
+	g.advance(c)
+	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now, repeat: ev.Retry,
+		deadline: g.now + ev.Remaining}
+	g.reqs[r.id], c.seen = r, g.now
+	return r
+}
--- /dev/null
+++ b/policy/large_test.go
@@ -0,0 +1,275 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// crowd drives hundreds of gateways by hand, a message taking 20 ms.
+type crowd struct {
+	t    *testing.T
+	now  time.Duration
+	gs   []*Gateway
+	mail []letter
+	lose func(from, to int) bool
+
+	told   int // messages, by receiver
+	sends  []Send
+	from   []int
+	sentAt []time.Duration
+	over   int // sends that have ended
+	final  int
+}
+
+type letter struct {
+	at       time.Duration
+	from, to int
+	data     []byte
+}
+
+func newCrowd(t *testing.T, n int, servers []Server) *crowd {
+	t.Helper()
+	c := &crowd{t: t, now: 10 * time.Second, lose: func(int, int) bool { return false }}
+	for i := range n {
+		s := base()
+		s.Me, s.Gateways = i, n
+		g, err := New(s, uint64(i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.gs = append(c.gs, g)
+		c.do(i, Members{Kind: Remembered, Servers: servers})
+	}
+	return c
+}
+
+func (c *crowd) do(i int, ev Event) {
+	for _, a := range c.gs[i].Handle(c.now, ev, nil) {
+		switch a := a.(type) {
+		case Tell:
+			if len(a.Data) > 256 || a.To >= len(c.gs) || a.To == i {
+				c.t.Fatalf("gateway %d tells %d %d bytes", i, a.To, len(a.Data))
+			}
+			for to := range c.gs {
+				if to == a.To || a.To < 0 && to != i {
+					c.told++
+					if !c.lose(i, to) {
+						c.mail = append(c.mail, letter{c.now + 20*ms, i, to, a.Data})
+					}
+				}
+			}
+		case Send:
+			c.sends, c.from, c.sentAt = append(c.sends, a), append(c.from, i), append(c.sentAt, c.now)
+		case Refuse, Fail:
+			c.final++
+		}
+	}
+}
+
+// pass lets time go by in steps of 10 ms, each attempt ending well after 50.
+func (c *crowd) pass(d time.Duration, step func(at time.Duration)) {
+	for end := c.now + d; c.now < end; {
+		c.now += 10 * ms
+		var due []letter
+		for len(c.mail) > 0 && c.mail[0].at <= c.now {
+			due, c.mail = append(due, c.mail[0]), c.mail[1:]
+		}
+		for _, l := range due {
+			c.do(l.to, PeerMessage{From: l.from, Data: l.data})
+		}
+		for i := range c.gs {
+			c.do(i, Timer{Token: "ask"})
+			if (c.now/ms/10+time.Duration(i))%25 == 0 {
+				c.do(i, Timer{Token: "tick"})
+			}
+		}
+		for ; c.over < len(c.sends) && c.sentAt[c.over]+50*ms <= c.now; c.over++ {
+			s := c.sends[c.over]
+			c.do(c.from[c.over], Outcome{ID: s.ID, Server: s.Server, Code: OK, Latency: 50 * ms, Over: true})
+		}
+		if step != nil {
+			step(c.now)
+		}
+	}
+}
+
+func (c *crowd) request(i int, id RequestID, customer, plan, class string, spread int) {
+	c.do(i, Request{ID: id, Customer: customer, Plan: plan, Class: class, Units: 1,
+		Remaining: 2 * time.Second, Spread: spread})
+}
+
+// Hundreds of gateways, each seeing few requests of a customer that asks five
+// times its quota, pass no more than the quota together and leave little of it
+// unused, with a few messages a request.
+func TestHundredsOfGatewaysKeepTheQuota(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		every int // a request in each such step of 10 ms
+		lost  int // a message in so many is lost
+		least int
+	}{
+		{"far above", 2, 1 << 30, 85}, {"far above, mail lost", 2, 12, 85}, {"inside", 20, 1 << 30, 50},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newCrowd(t, 300, fleet(40))
+			n := 0
+			w.lose = func(int, int) bool { n++; return n%c.lost == 0 }
+			asked := 0
+			w.pass(10*time.Second, func(at time.Duration) {
+				if int(at/ms/10)%c.every == 0 && at < 19*time.Second {
+					asked++
+					w.request(asked*37%200, RequestID(asked), "k", "rate", "safe", 200)
+				}
+			})
+			passed := len(w.sends)
+			if most := 10 + 10*10; passed > most*23/20 || passed < min(c.least, asked) {
+				t.Errorf("%d of %d passed, the quota holds %d", passed, asked, most)
+			}
+			if passed+w.final != asked {
+				t.Errorf("%d passed and %d refused of %d", passed, w.final, asked)
+			}
+			if w.told > 6*asked {
+				t.Errorf("%d messages for %d requests", w.told, asked)
+			}
+		})
+	}
+}
+
+// A root that answers nothing must not stop its customers: the deputy counts
+// for it.
+func TestDeputyStepsIn(t *testing.T) {
+	w := newCrowd(t, 100, fleet(20))
+	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
+	roots, deputy := w.gs[0].roots(c)
+	w.lose = func(from, to int) bool { return to == roots[0] || from == roots[0] }
+	asked := 0
+	w.pass(8*time.Second, func(at time.Duration) {
+		if i := asked * 7 % 50; int(at/ms/10)%5 == 0 && at < 17*time.Second && i != roots[0] {
+			w.request(i, RequestID(asked+1), "k", "rate", "safe", 50)
+		}
+		asked++
+	})
+	if n := len(w.sends); n < 60 || n > 120 {
+		t.Errorf("%d passed with root %v lost and deputy %d, the quota holds 90", n, roots, deputy)
+	}
+}
+
+// Least parts of one each would let hundreds of gateways push a cold server
+// over together.
+func TestColdShareIsBoundedOverTheFleet(t *testing.T) {
+	servers := fleet(20)
+	servers[0].HasStart, servers[0].Start = true, 10*time.Second
+	w := newCrowd(t, 300, servers)
+	for _, g := range w.gs { // the warm ones are all slow
+		for _, s := range g.fleet[1:] {
+			s.slow = mostPace
+		}
+	}
+	id := 0
+	for range 4 {
+		for i := range w.gs {
+			id++
+			w.request(i, RequestID(id), "k", "free", "safe", 300)
+		}
+	}
+	cold := 0
+	for _, s := range w.sends {
+		if s.Server == 1 {
+			cold++
+		}
+	}
+	// An even share is 60; the server has a fifth of its capacity, and falls
+	// at twice that.
+	if cold > 24 {
+		t.Errorf("%d of %d sent to a server that bears %d", cold, len(w.sends), 24)
+	}
+}
+
+// A watcher hears of one class failing on a server and tells all; the other
+// classes still go there.
+func TestWatcherTellsOfOneClass(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	s := w.gs[0].servers[3]
+	id := 0
+	for range 6 {
+		for i := range 12 {
+			from := (s.watchers[0] + 1 + i) % 100
+			w.do(from, PeerMessage{From: s.watchers[0], Data: []byte{shortVersion}}) // foreign: nothing
+			g := w.gs[from]
+			w.do(s.watchers[0], PeerMessage{From: from,
+				Data: encode(sight{uint32(s.ID), byte(g.classes["safe"].no), byte(Error), 5})})
+			w.do(s.watchers[0], PeerMessage{From: from,
+				Data: encode(sight{uint32(s.ID), byte(g.classes["once"].no), byte(OK), 80})})
+		}
+	}
+	w.pass(100*ms, nil)
+	hits := map[string]int{}
+	for _, class := range []string{"safe", "once"} {
+		before := len(w.sends)
+		for i := range w.gs {
+			if i != s.watchers[0] {
+				for range 4 {
+					id++
+					w.request(i, RequestID(id), "k", "free", class, 100)
+				}
+			}
+		}
+		for _, x := range w.sends[before:] {
+			if x.Server == s.ID {
+				hits[class]++
+			}
+		}
+	}
+	if hits["safe"] > 0 || hits["once"] < 5 {
+		t.Errorf("sent to a server that fails one class: %v", hits)
+	}
+}
+
+// The watcher may be lost with the server: one that can't be reached is told
+// to a second.
+func TestSecondWatcherTellsOfUnreachable(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	s := w.gs[0].servers[3]
+	w.lose = func(from, to int) bool { return from == s.watchers[0] || to == s.watchers[0] }
+	cl := w.gs[70].classes["safe"]
+	for range 6 {
+		w.gs[70].now, w.gs[70].acts = w.now, nil
+		w.gs[70].sight(w.gs[70].servers[3], cl, ConnectFailed, 250*ms)
+		acts := w.gs[70].acts
+		for _, a := range of[Tell](acts) {
+			if a.To == s.watchers[1] {
+				w.do(a.To, PeerMessage{From: 70, Data: a.Data})
+			}
+		}
+	}
+	w.pass(100*ms, nil)
+	if v := w.gs[20].record(w.gs[20].servers[3], cl); !v.bad {
+		t.Error("a gateway far off has not heard of it")
+	}
+}
+
+// An ask that comes twice counts once, and is answered twice: the first answer
+// may be lost.
+func TestRepeatedAskCountsOnce(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
+	roots, _ := w.gs[0].roots(c)
+	m := encode(ask{Customer: keyOf("k"), Spread: 50, Plan: 1, Units: 4, Left: 2000, Tag: 9, Thin: 250, Fill: unknownStore})
+	for range 3 {
+		w.do(roots[0], PeerMessage{From: 99, Data: m})
+	}
+	if got := w.gs[roots[0]].customers[keyOf("k")].passed; got != 4 || w.told != 3 {
+		t.Errorf("%d units counted, %d answers", got, w.told)
+	}
+}
+
+// A try without time left is refused at once: it can't wait for its root.
+func TestNoTimeLeftIsRefused(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	for i := range 20 {
+		w.do(i, Request{ID: RequestID(i + 1), Customer: "k", Plan: "rate", Class: "safe", Units: 1, Spread: 100})
+	}
+	if w.final != 20 || len(w.sends) > 0 {
+		t.Errorf("%d refused, %d sent", w.final, len(w.sends))
+	}
+}
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -128,18 +128,18 @@
 }
 
 func (g *Gateway) record(s *server, cl *class) *record {
-	if !g.tree || cl.no >= len(s.by) || cl.Name == "" {
+	if cl.no >= len(s.by) || cl.Name == "" {
 		return nil
 	}
 	return &s.by[cl.no]
 }
 
 func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
-	if !g.tree || cl.Name == "" {
-		return
+	if cl.Name == "" {
+		return // not in the settings
 	}
 	for i, w := range s.watchers {
-		if i > 0 && code != ConnectFailed {
+		if i > 0 && (code != ConnectFailed || !g.tree) {
 			break
 		}
 		if w == g.set.Me {
@@ -173,3 +173,36 @@
 	}
 	return m
 }
+
+// requestOf makes the request that another gateway asks for.
+func (g *Gateway) requestOf(c *customer, from int, m ask) *request {
+	return &request{c: c, cl: g.classes[g.set.Classes[m.Class].Name], units: float64(m.Units), arrived: g.now,
+		deadline: g.now + time.Duration(m.Left)*time.Millisecond, repeat: m.Repeat, remote: true, root: from,
+		tag: m.Tag}
+}
+
+// masks gives a bit for each class: told to be out of use, until when, and so
+// now.
+func (s *server) masks(isBad func(*record) bool) (told, bad byte, until time.Duration) {
+	for i := range s.by {
+		v := &s.by[i]
+		if v.bad {
+			told |= 1 << i
+			until = v.until
+		}
+		if isBad(v) {
+			bad |= 1 << i
+		}
+	}
+	return told, bad, until
+}
+
+// watchers names the gateways that judge a server: in a small fleet each
+// judges for itself.
+func (g *Gateway) watchers(h uint32) [2]int {
+	if !g.tree {
+		return [2]int{g.set.Me, g.set.Me}
+	}
+	n := uint32(g.set.Gateways)
+	return [2]int{int(h % n), int((h + 1) % n)}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,67 +20,63 @@
 const (
 	mailShare        = 0.75 // part of a gateway's mail intake that reports may fill
 	minTick, maxTick = 25 * time.Millisecond, 250 * time.Millisecond
-	staleTicks       = 6                     // a report older than this gives way to the demand split
-	forgetAfter      = 10 * time.Second      // how fast a silent peer's demand is forgotten
-	leastWeight      = 0.33                  // but this part of it is never
+	staleTicks       = 6    // a report older than this gives way to the demand split
+	leastWeight      = 0.33 // a silent peer's demand fades to this part of it
+	forgetAfter      = 10 * time.Second
 	demandSpan       = 2 * time.Second       // memory of the demand rates
 	blindExtra       = 25 * time.Millisecond // time a report travels
-	untold           = 0.01                  // what a tick without being told adds to a customer's place in the report
+	untold           = 0.01                  // what a tick untold adds to a place in the report
 	repeatTicks      = 3                     // a change is told in this many reports
 
-	choices            = 4    // servers compared for an attempt
-	queueWeight        = 0.5  // what each attempt out adds to a server's latency, in service times
-	waitAim            = 0.15 // a server is full when the wait there passes this part of the shortest aim
-	leastOut           = 2.0  // but not below this many attempts out
-	retryReserve       = 0.5  // part of the store that clients' repeats leave to first tries
-	pressedFor         = 200 * time.Millisecond
-	holdAim            = 0.5  // a request is held for this part of its aim
-	firstGuess         = 8.0  // a request's first guessed latency is its aim over this
-	learn              = 0.1  // weight of a new latency or error in a server's averages
-	errorLimit         = 0.35 // error average that ejects a server
-	ejectShare         = 0.34 // at most this share of the fleet is ejected
-	slowSpan           = 10 * time.Second
-	fullFor            = 2 * time.Second
-	minEject, maxEject = time.Second, 8 * time.Second
-	idleAfter          = 10 * time.Minute // a customer not seen for so long is forgotten
-	retryEarn          = 0.15             // retry budget earned by each first attempt
-	retryCap           = 12.0             // most of it kept
-	coldSafety         = 0.5              // part of the cold budget used
+	choices             = 4    // servers compared for an attempt
+	zonePrice           = 25.0 // service times to which a charge of one unit for another zone compares
+	queueWeight         = 0.5  // what each attempt out adds to a server's latency, in service times
+	waitAim             = 0.15 // a server is full when the wait passes this part of the shortest aim
+	leastOut            = 2.0  // but not below this many attempts out
+	retryReserve        = 0.5  // part of the store that clients' repeats leave to first tries
+	pressedFor          = 200 * time.Millisecond
+	holdAim             = 0.5              // a request is held for this part of its aim
+	firstGuess          = 8.0              // a request's first guessed latency is its aim over this
+	learn, learnMean    = 0.1, 0.03        // weight of an outcome in a server's pace, in a class's latency
+	slowSpan            = 10 * time.Second // an old judgement wears off in this time
+	fullFor             = 2 * time.Second
+	idleAfter           = 10 * time.Minute // a customer not seen for so long is forgotten
+	retryEarn, retryCap = 0.15, 12.0       // retry budget earned by each first attempt, most kept
+	coldSafety          = 0.5              // part of the cold budget used
+
+	leastLate               = 0.1       // an attempt is overdue after this part of its aim at the soonest,
+	overdue                 = 4.0       // when so many times as old as predicted
+	sightWeight, sightLimit = 0.2, 0.45 // weight of a failure, average that puts a server out of use
+	trialWorth              = 0.6       // what a good trial leaves of a server's failures
+
+	trialEvery = time.Second
+	mostOut    = 0.7 // more out of use than this part are used all the same
+	gateAim    = 0.4 // mean latency over aim above which the gate closes
+
+	gateShut, gateOpen = 3 * time.Second, 8 * time.Second // to 1/e in this time, and opens
+	strainLife         = 12 * time.Second                 // how fast an old strain is forgotten
+	strainOwn          = 0.15                             // weight of an outcome or a root's word in it
 
 	// Where reports from all to all are more than the mail bears.
-	rootMail    = 0.5                   // part of a gateway's mail intake that one customer may fill
+	rootMail    = 0.5                   // part of its mail intake that a root spends on one customer
 	rootPeak    = 2.0                   // asks it must bear, as a multiple of those inside the quota
-	freshFill   = 0.8                   // a root that may have been restarted presumes this much of a store
-	firstReply  = 60 * time.Millisecond // a first guess of the time to an answer
-	leastReply  = 30 * time.Millisecond // an answer is waited for this long at least
-	replySpread = 2.5                   // and for this many mean times
-	rootTicks   = 2                     // a customer's roots report to each other every so many ticks
+	rootTicks   = 2                     // roots of a customer report to each other every so many ticks
 	rootAsks    = 2                     // times a root is asked before its deputy is
-	thinSpan    = 12 * time.Second      // how long a root's word of what part fits is heeded
-	thinLeast   = 1.2                   // asked beyond that part, so that it is found when it grows
-	lostFor     = time.Second           // and the deputy is asked at once for so long after
+	lostFor     = time.Second           // the deputy is asked at once for so long after
+	freshFill   = 0.8                   // part of a store that a root just started presumes
 	deputyPart  = 0.25                  // part of a hard ceiling that the deputy holds
+	leastReply  = 30 * time.Millisecond // an answer is waited for this long at least
+	replySpread = 2.5                   // and for this many mean times
+	thinSpan    = 12 * time.Second      // a root's word of what part fits is heeded so long
+	thinLeast   = 1.2                   // and this much more asked for, to find it when it grows
 	leaseAim    = 1.0                   // an attempt not told of as ended counts for this part of its aim
 	mostPace    = 12.0                  // most a server's pace is taken for
-	gateAim     = 0.4                   // mean latency over aim above which the gate closes
-	gateShut    = 3 * time.Second       // to 1/e of it in this time
-	gateOpen    = 8 * time.Second       // and else opens all the way in this
-	gateLeast   = 0.03                  // never closer than this
-	strainLife  = 12 * time.Second      // how fast an old strain is forgotten
-	strainTold  = 0.15                  // weight of the strain a root tells of
-	strainOwn   = 0.15                  // and of an outcome here
-	sightLimit  = 0.45                  // average of failures that puts a server out of use for a class
-	sightWeight = 0.15                  // weight of an outcome in a watcher's averages
-	paceStep    = 1.7                   // a server's pace is told when it changed by this factor
+	paceLearn   = 0.025                 // weight of an outcome in the pace at its watcher
+	paceStep    = 1.7                   // a pace is told when it changed by this factor
 	verdictMail = 0.1                   // part of a gateway's mail intake that verdicts may fill
 	verdictKeep = 2.0                   // verdicts a watcher may send at once
-	trialEvery  = time.Second           // a watcher tries a server that is out of use so often
 	verdictLife = 8 * time.Second       // a verdict not told again lapses
 	otherZone   = 0.7                   // weight of a server in another zone
-	mostOut     = 0.7                   // verdicts against more servers than this part are not heeded
-	leastLate   = 0.1                   // but not before this part of the aim
-	silentAge   = 3.0                   // an attempt so many times as old as predicted shows silence, twice as old for two
-	overdue     = 4.0                   // an attempt this many times as old as predicted counts as failed
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -91,19 +87,19 @@
 	}
 	g := newGateway(s, seed)
 	g.budget, g.minAim = retryCap, math.Inf(1)
-	for _, c := range g.set.Classes {
-		g.classes[c.Name].mean = c.Aim.Seconds() / firstGuess
-		g.mean, g.minAim = g.classes[c.Name].mean, min(g.minAim, c.Aim.Seconds())
+	for _, c := range g.classes {
+		c.mean = c.Aim.Seconds() / firstGuess
+		g.mean, g.minAim = max(g.mean, c.mean), min(g.minAim, c.Aim.Seconds())
 	}
 	mail := max(s.MailPerSecond*mailShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
-	g.tree = g.tick > maxTick && s.CanTell
-	g.gate = 1
-	g.nextTag, g.reply = g.rng.Uint32(), firstReply
-	for i := range s.Gateways {
-		if !g.tree {
-			g.peer(i)
-		}
+	g.own, g.gate = learn, 1
+	if g.tree = g.tick > maxTick && s.CanTell; g.tree {
+		g.own = 0 // what the watchers tell is more than what this gateway sees
+	}
+	g.nextTag, g.reply = g.rng.Uint32(), leastReply
+	if !g.tree {
+		g.allPeers()
 	}
 	g.tick = max(min(max(g.tick, minTick), maxTick), s.Resolution)
 	return g, nil
@@ -111,18 +107,6 @@
 
 // Customers, their stores and their room.
 
-func (g *Gateway) customer(r *Request) *customer {
-	key := keyOf(r.Customer)
-	if c := g.customers[key]; c != nil {
-		return c
-	}
-	plan := g.plans[r.Plan]
-	if plan == nil {
-		plan = &quota{Plan: Plan{Name: r.Plan}}
-	}
-	return g.account(key, plan, r.First, r.Spread)
-}
-
 // account starts a customer's counts. Those who sum them come first: in a
 // small fleet all its gateways, in a large one its roots. The others ask.
 func (g *Gateway) account(key uint64, plan *quota, first, spread int) *customer {
@@ -191,7 +175,7 @@
 		}
 	}
 	share := 1 - unheard/g.demand(c)
-	if len(c.ask) > 0 {
+	if len(c.ask) > 0 && !c.sums {
 		share = 1 / float64(c.spread) // what others pass is the root's to know
 	}
 	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
@@ -284,22 +268,11 @@
 
 // Requests.
 
-func (g *Gateway) onRequest(ev Request) {
-	c := g.customer(&ev)
-	g.advance(c)
-	cl := g.classes[ev.Class]
-	if cl == nil {
-		cl = &class{Class: Class{Aim: ev.Remaining, Effect: Unsafe}, mean: g.mean}
-	}
-	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now, repeat: ev.Retry}
-	r.deadline = g.now + ev.Remaining
-	g.reqs[r.id], c.seen = r, g.now
-	c.rate += ev.Units
-	if ev.Remaining <= 2*g.set.Resolution {
-		g.refuse(r) // any wait would be too long for an answer in time
-		return
-	}
-	if g.rng.Float64() > g.gate {
+func (g *Gateway) onRequest(r *request) {
+	c := r.c
+	c.rate += r.units
+	// With no time left any wait is too long.
+	if r.deadline-g.now <= 2*g.set.Resolution || g.rng.Float64() > g.gate {
 		g.refuse(r)
 		return
 	}
@@ -336,14 +309,6 @@
 	if len(c.held) == 0 && g.room(c, true) && g.try(r) {
 		return
 	}
-	// The queue holds no more than can still meet the aim.
-	if c.plan.Open > 0 {
-		slots := max(1, float64(c.plan.Open)*g.share(c))
-		if float64(len(c.held)+1)*r.cl.mean/slots > r.cl.Aim.Seconds()*holdAim {
-			g.refuse(r)
-			return
-		}
-	}
 	g.hold(r)
 	if r.remote && !r.over {
 		g.answer(r, waits)
@@ -399,9 +364,6 @@
 	} else {
 		g.sendRate++
 	}
-	if s.bad {
-		s.until = g.now + s.wait
-	}
 	var timeout time.Duration
 	if !g.set.CanCancel && r.cl.Effect == Safe && !r.cl.Stream {
 		timeout = max(r.cl.Aim*3/5, r.deadline-g.now-r.cl.Aim)
@@ -417,15 +379,7 @@
 	} else if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
 		g.do(Fail{ID: r.id})
 	} else {
-		var after time.Duration
-		if c := r.c; c.plan.Rate > 0 && !r.counted {
-			lack := r.units - g.allowance(c)
-			after = time.Duration(max(lack, 0) / (c.plan.Rate * g.share(c)) * float64(time.Second))
-		}
-		if g.pressed() {
-			after = g.set.MaxRetryAfter
-		}
-		g.do(Refuse{ID: r.id, RetryAfter: min(after, g.set.MaxRetryAfter)})
+		g.do(Refuse{ID: r.id, RetryAfter: g.set.MaxRetryAfter})
 	}
 	g.close(r)
 }
@@ -438,15 +392,12 @@
 	s, c := r.srv, r.c
 	g.advance(c)
 	c.fresh = repeatTicks
-	g.ended(r)
+	g.ended(r, ev.Code)
 	g.judge(s, r, ev)
 	if ev.Code == OK && ev.Actual > 0 && ev.Actual != r.units {
 		c.store -= ev.Actual - r.units
 		c.passed += uint16(int(ev.Actual - r.units))
 	}
-	if !ev.Code.NeverRan() && !r.ran {
-		r.ran, r.ranZone, r.ranCell, r.ranAt = true, s.Zone, s.Cell, r.sentAt
-	}
 	switch {
 	case r.over || ev.Over || ev.Code == OK:
 		g.close(r)
@@ -534,11 +485,8 @@
 	if s.State != Running || g.now < s.fullAt[r.c.plan] {
 		return false
 	}
-	if r.ran && r.cl.Effect == Keyed {
-		if g.now-r.ranAt >= r.cl.Window || r.cl.Group == GroupZone && s.Zone != r.ranZone ||
-			r.cl.Group == GroupCell && s.Cell != r.ranCell {
-			return false
-		}
+	if r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
+		return false
 	}
 	if cold := g.coldness(s); cold < 1 {
 		// A budget for every window, shared by all gateways: what warm servers
@@ -552,21 +500,16 @@
 	return true
 }
 
-// pick chooses a server: the better of two random ones by predicted latency
-// and zone price, or nil when all are full. A trial goes to an ejected server
-// whose time is up.
+// pick chooses a server, or nil when none has room. Those out of use for the
+// class are left out while they are not too many; a watcher tries them now and
+// then. A small fleet's gateway takes the best of a few random ones by predicted
+// latency and zone price.
 func (g *Gateway) pick(r *request) *server {
 	var ok, doubted []*server
 	for _, s := range g.fleet {
 		if !g.usable(s, r) {
 			continue
 		}
-		if s.bad {
-			if g.now >= s.until && s.out == 0 && r.cl.Effect == Safe && r.attempts == 0 {
-				return s
-			}
-			continue
-		}
 		if s == r.last {
 			continue
 		}
@@ -599,7 +542,7 @@
 		p := g.predict(s, r.cl) * (0.9 + 0.2*g.rng.Float64())
 		k++
 		if s.Zone != g.set.Zone {
-			p += r.cl.mean * g.set.CrossZoneCost * 25
+			p += r.cl.mean * g.set.CrossZoneCost * zonePrice
 		}
 		if p < low {
 			best, low = s, p
@@ -642,44 +585,23 @@
 	}
 	switch ev.Code {
 	case OK:
-		s.okAt = g.now
-		s.errs -= 2 * learn * s.errs
+		if v := g.record(s, r.cl); v != nil {
+			v.okAt = g.now
+		}
 		base := (1 + queueWeight*r.load/g.sizeOf(s)) / g.coldness(s)
 		lat := ev.Latency.Seconds() / base
-		if !g.tree {
-			s.slow += learn * (min(max(lat/r.cl.mean, 0.05), 12) - s.slow)
-		}
-		g.mean += learn * 0.3 * (r.cl.mean - g.mean)
-		w := learn * 0.3
-		if r.cl.seen++; g.tree {
-			w = max(w, 1/(r.cl.seen+1)) // few outcomes come here: the first count for more
-		}
-		r.cl.mean += w * (min(lat, 4*r.cl.mean) - r.cl.mean)
-		if s.bad {
-			if s.trials++; s.trials >= 2 {
-				s.bad, s.errs, s.wait = false, 0, max(minEject, s.wait/2)
-			} else {
-				s.until = g.now
-			}
-		}
+		s.slow += g.own * (min(lat/r.cl.mean, mostPace) - s.slow)
+		g.mean += learnMean * (r.cl.mean - g.mean)
+		r.cl.seen++ // the first outcomes count for more
+		r.cl.mean += max(learnMean, 1/(r.cl.seen+1)) * (min(lat, 4*r.cl.mean) - r.cl.mean)
 	case Full:
 		// It may turn away one plan only: this one goes elsewhere for a while.
 		s.fullAt[r.c.plan] = g.now + fullFor
-		return
 	case Moot:
-		return
 	case Cancelled, TimedOut:
 		// Silence tells hung servers from slow ones, not this.
 		seen := ev.Latency.Seconds() / r.cl.mean / (1 + queueWeight*r.load/g.sizeOf(s))
-		if !g.tree {
-			s.slow += learn * (min(max(seen, s.slow), 12) - s.slow)
-		}
-		return
-	default:
-		s.errs += 2 * learn * (1 - s.errs)
-		if s.bad || s.errs > errorLimit {
-			g.eject(s, ev.Code == ConnectFailed)
-		}
+		s.slow += g.own * (min(max(seen, s.slow), mostPace) - s.slow)
 	}
 }
 
@@ -688,57 +610,21 @@
 // servers: peers unheard, slow fleets. Harms where aims are near idle latencies.
 func (g *Gateway) adapt(dt time.Duration) {
 	if g.strain > gateAim {
-		g.gate = max(gateLeast, g.gate*math.Exp(-dt.Seconds()/gateShut.Seconds()))
+		g.gate = g.gate * math.Exp(-dt.Seconds()/gateShut.Seconds())
 	} else {
 		g.gate = min(1, g.gate+dt.Seconds()/gateOpen.Seconds())
 	}
 	g.strain *= math.Exp(-dt.Seconds() / strainLife.Seconds())
 }
 
-// eject takes a server out of use for a while, unless too many are out.
-// Guards against servers that fail, hang or cannot be reached, whatever the
-// cause. A slowdown of all servers looks alike, so only a share is ejected.
-// One that cannot be reached is no slow one and is not held to the share.
-func (g *Gateway) eject(s *server, unreachable bool) {
-	if !s.bad {
-		bad, all := g.ejected()
-		if !unreachable && float64(bad+1) > max(1, ejectShare*float64(all)) {
-			return
-		}
-		s.bad, s.dead = true, unreachable
-	}
-	s.trials = 0
-	s.until = g.now + s.wait
-	s.wait = min(2*s.wait, maxEject)
-}
-
-// silence looks for attempts far older than predicted. In a small fleet a
-// server with several of them and no success since is ejected; in a large one
-// each is told to its watcher. What can go elsewhere is called back.
+// silence looks for attempts far older than predicted: they count as failed,
+// and what can go elsewhere is called back. Guards against servers that take
+// work and answer none; harms when all slow down at once, within the budget.
 func (g *Gateway) silence(s *server) {
-	old, late := 0, []*request(nil)
-	for _, r := range s.oldest {
+	for _, r := range slices.Clone(s.oldest) {
 		age := (g.now - r.sentAt).Seconds() / max(g.predict(s, r.cl), leastLate*r.cl.Aim.Seconds())
-		if r.stream {
-			continue
-		}
-		if s.okAt <= r.sentAt {
-			old += min(2, int(age/silentAge))
-		}
-		if g.tree && age > overdue || !g.tree && g.now-r.sentAt > 2*g.tick {
-			late = append(late, r)
-		}
-	}
-	if !g.tree {
-		if old < 2 {
-			return
-		}
-		if g.eject(s, false); !s.bad {
-			return
-		}
-	}
-	for _, r := range late {
-		if r.over || r.quit {
+		v := g.record(s, r.cl)
+		if age < overdue || r.over || r.quit || r.stream || v != nil && v.okAt > r.sentAt {
 			continue
 		}
 		r.quit = true
@@ -780,8 +666,7 @@
 	}
 	for _, c := range g.ring {
 		c.expire(g.now)
-		c.count(g.now, 0)
-		c.mean, c.area = c.area/dt.Seconds(), 0
+		c.measure(g.now, dt)
 	}
 	for _, c := range slices.Clone(g.waiting) {
 		g.advance(c)
@@ -813,8 +698,6 @@
 	}
 }
 
-// Reports between gateways; report.go lays them out.
-
 // news tells whether peers must hear of a customer.
 func (c *customer) news() bool {
 	return len(c.set) > 0 && (c.out > 0 || c.mean > 0 || len(c.held) > 0 || c.fresh > 0)
@@ -823,7 +706,8 @@
 // urgent orders a report, busiest first: held, and units not told yet, against
 // what may be used at once; then those not told for longest.
 func (g *Gateway) urgent(c *customer) float64 {
-	return float64(len(c.held)) + float64(c.passed-c.toldUnits)/(c.plan.Burst+1) + untold*float64(g.ticks-c.told)
+	units := float64(c.passed-c.toldUnits) / (c.plan.Burst + 1)
+	return float64(len(c.held)) + units + untold*float64(g.ticks-c.told)
 }
 
 // hear takes in what a peer says of a customer. Running totals heal lost
@@ -835,8 +719,7 @@
 	}
 	g.advance(c)
 	v := c.set[i]
-	v.at, v.rate = g.now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
-	v.out, v.held = math.Pow(float64(e.out)/outScale, 2), float64(e.held)
+	v.read(e, g.now)
 	if v.heard && v.inc != p.inc {
 		v.passed = 0
 	}
@@ -896,9 +779,6 @@
 // onAsk takes a member's request into the customer's counts as if it had come
 // in here.
 func (g *Gateway) onAsk(from int, m ask) {
-	if int(m.Plan) >= len(g.set.Plans) || int(m.Class) >= len(g.set.Classes) || m.Spread == 0 {
-		return
-	}
 	c := g.customers[m.Customer]
 	if c == nil {
 		c = g.account(m.Customer, g.plans[g.set.Plans[m.Plan].Name], int(m.First), int(m.Spread))
@@ -913,12 +793,9 @@
 		return
 	}
 	g.advance(c)
-	c.seen = g.now
+	c.seen, c.sums = g.now, true
 	c.rate += float64(m.Units) * 250 / float64(max(1, m.Thin))
-	r := &request{c: c, cl: g.classes[g.set.Classes[m.Class].Name], units: float64(m.Units), arrived: g.now,
-		repeat: m.Repeat, remote: true, root: from, tag: m.Tag}
-	r.deadline = g.now + time.Duration(m.Left)*time.Millisecond
-	g.admit(r)
+	g.admit(g.requestOf(c, from, m))
 }
 
 // grant counts a member's request and tells it to go.
@@ -950,7 +827,7 @@
 		g.reply += time.Duration(learn * float64(g.now-r.askedAt-g.reply))
 	}
 	g.advance(c)
-	g.strain += strainTold * (float64(m.Strain)/100 - g.strain)
+	g.strain += strainOwn * (float64(m.Strain)/100 - g.strain)
 	c.part, c.partAt = float64(m.Part)/250, g.now
 	c.store, c.told = float64(m.Fill)/250*c.plan.Burst, g.ticks+1
 	if m.Verdict == waits {
@@ -981,7 +858,10 @@
 	seen := min(latency.Seconds()/mean/g.coldness(s), mostPace)
 	switch code {
 	case OK:
-		v.errs -= sightWeight * v.errs
+		v.errs *= 1 - sightWeight
+		if v.bad {
+			v.errs *= trialWorth
+		}
 	case Full:
 		seen = mostPace
 	case ConnectFailed:
@@ -989,10 +869,13 @@
 			s.by[i].errs += 2 * sightWeight * (1 - s.by[i].errs)
 		}
 	default:
-		v.errs += sightWeight * (1 - v.errs)
+		for i := range s.by { // it may fail other classes too
+			s.by[i].errs += sightWeight / 2 * (1 - s.by[i].errs)
+		}
+		v.errs += sightWeight / 2 * (1 - v.errs)
 		seen = max(seen, s.pace)
 	}
-	s.pace += learn * 0.25 * (seen - s.pace)
+	s.pace += paceLearn * (seen - s.pace)
 	g.tell(s)
 }
 
@@ -1003,27 +886,22 @@
 	each := g.set.MailPerSecond * verdictMail / float64(max(1, len(g.fleet)))
 	s.verdicts = min(verdictKeep, s.verdicts+each*(g.now-s.verdictAt).Seconds())
 	s.verdictAt = g.now
-	m, news, until := verdict{Server: uint32(s.ID)}, false, time.Duration(0)
 	first := s.watchers[0] == g.set.Me
-	if !first {
+	if !first || !g.tree {
 		s.pace = s.slow // the second knows only what it can't reach
 	}
-	for i := range s.by {
-		v := &s.by[i]
-		bad := v.errs > sightLimit || v.bad && (!first || v.errs > sightLimit/2)
-		if bad {
-			m.Bad |= 1 << i
-			until = v.until
-		}
-		news = news || bad != v.bad
-	}
-	change := max(s.pace/s.slow, s.slow/s.pace) > paceStep
-	again := first && m.Bad != 0 && until-g.now < verdictLife/4
-	if s.verdicts < 1 || !news && !change && !again {
+	told, bad, until := s.masks(func(v *record) bool {
+		return v.errs > sightLimit || v.bad && (!first || v.errs > sightLimit/2)
+	})
+	change := g.tree && max(s.pace/s.slow, s.slow/s.pace) > paceStep
+	again := first && bad != 0 && until-g.now < verdictLife/4
+	if s.verdicts < 1 || bad == told && !change && !again {
 		return
 	}
-	m.Pace = small(16 * (4 + math.Log2(max(s.pace, 0.1))))
-	s.verdicts--
+	m := verdict{Server: uint32(s.ID), Bad: bad, Pace: small(16 * (4 + math.Log2(max(s.pace, 0.1))))}
 	g.onVerdict(m)
-	g.do(Tell{To: -1, Data: encode(m)})
+	if g.tree {
+		s.verdicts--
+		g.do(Tell{To: -1, Data: encode(m)})
+	}
 }
--- a/policy/report.go
+++ b/policy/report.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math"
 	"slices"
+	"time"
 )
 
 // keyOf names a customer in messages, shortOf in reports.
@@ -218,3 +219,9 @@
 		}
 	}
 }
+
+// read takes over an entry's figures.
+func (v *peerView) read(e entry, now time.Duration) {
+	v.at, v.rate = now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
+	v.out, v.held = math.Pow(float64(e.out)/outScale, 2), float64(e.held)
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 	ask       []int   // the gateways that sum its counts, where this one does not
 	part      float64 // of what is asked for fits, as its root said
 	partAt    time.Duration
+	sums      bool             // others ask it here, as its root or deputy
 	lostUntil time.Duration    // its root is taken for lost
 	leases    map[lease]leased // granted to others and not told of as ended
 	set       []*peerView      // its other gateways
@@ -67,8 +68,9 @@
 
 // record is what the fleet knows of a server for one class.
 type record struct {
-	errs  float64 // the watcher's average
-	bad   bool    // out of use for the class, until a time
+	errs  float64       // the watcher's average
+	okAt  time.Duration // its last answer here
+	bad   bool          // out of use for the class, until a time
 	until time.Duration
 	trial time.Duration // when the watcher may next try it
 }
@@ -139,18 +141,11 @@
 	Server
 	hash   uint16
 	out    int
-	slow   float64 // latency against the fleet's, at equal load
-	errs   float64 // average of errors
-	okAt   time.Duration
+	slow   float64                  // latency against the fleet's, at equal load
 	heard  float64                  // attempts out there, as the peers last said
 	oldest []*request               // attempts out, oldest first
 	fullAt map[*quota]time.Duration // until then it is taken to turn this plan away
-	bad    bool                     // ejected
-	dead   bool                     // because it could not be reached
-	until  time.Duration            // until then nothing is tried
-	wait   time.Duration            // length of the next ejection
-	trials int
-	sends  []time.Duration // while cold: recent sends
+	sends  []time.Duration          // while cold: recent sends
 
 	weight    float64  // in the draw at hand
 	watchers  [2]int   // the gateways that judge it for all; the second only whether it can be reached
@@ -192,6 +187,7 @@
 	size      float64 // mean weight in the list
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
+	own       float64 // weight of an outcome in a server's pace here
 	gate      float64 // part of the requests let in
 	tree      bool    // reports from all to all would be too many
 	asks      map[uint32]*request
@@ -217,8 +213,11 @@
 	s.oldest = append(s.oldest, r)
 }
 
-func (g *Gateway) ended(r *request) {
+func (g *Gateway) ended(r *request, code Code) {
 	s := r.srv
+	if !code.NeverRan() && !r.ran {
+		r.ran, r.ranZone, r.ranCell, r.ranAt = true, s.Zone, s.Cell, r.sentAt
+	}
 	r.srv, r.stream = nil, false
 	s.out, g.out = s.out-1, g.out-1
 	r.c.count(g.now, -1)
@@ -227,6 +226,17 @@
 	}
 }
 
+// sameGroup tells whether a server drops repeats of what may have run.
+func (r *request) sameGroup(s *server) bool {
+	return (r.cl.Group != GroupZone || s.Zone == r.ranZone) && (r.cl.Group != GroupCell || s.Cell == r.ranCell)
+}
+
+// measure takes the mean of attempts out over a tick.
+func (c *customer) measure(now, dt time.Duration) {
+	c.count(now, 0)
+	c.mean, c.area = c.area/dt.Seconds(), 0
+}
+
 // expire drops the leases that have run out.
 func (c *customer) expire(now time.Duration) {
 	for l, v := range c.leases {
@@ -333,6 +343,12 @@
 	return g
 }
 
+func (g *Gateway) allPeers() {
+	for i := range g.peers {
+		g.peer(i)
+	}
+}
+
 // peer returns what is known of a gateway.
 func (g *Gateway) peer(num int) *peer {
 	if g.peers[num] == nil {
@@ -341,19 +357,6 @@
 	return g.peers[num]
 }
 
-// ejected counts the running servers, and those of them ejected as slow or failing.
-func (g *Gateway) ejected() (bad, all int) {
-	for _, s := range g.fleet {
-		if s.State == Running {
-			all++
-			if s.bad && !s.dead {
-				bad++
-			}
-		}
-	}
-	return bad, all
-}
-
 // sumLoads sums the peers' attempts out at each server; old counts are let go.
 func (g *Gateway) sumLoads() {
 	for _, s := range g.fleet {
