--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,33 +50,34 @@
 	trialWorth              = 0.6       // what a good trial leaves of a server's failures
 
 	trialEvery = time.Second
-	mostOut    = 0.7 // more out of use than this part are used all the same
-	gateAim    = 0.4 // mean latency over aim above which the gate closes
+	mostOut    = 0.7  // more out of use than this part are used all the same
+	gateAim    = 0.4  // mean latency over aim above which the gate closes
+	blindAim   = 0.25 // and where gateways don't see the load at servers
 
 	gateShut, gateOpen = 3 * time.Second, 8 * time.Second // to 1/e in this time, and opens
 	strainLife         = 12 * time.Second                 // how fast an old strain is forgotten
 	strainOwn          = 0.15                             // weight of an outcome or a root's word in it
 
 	// Where reports from all to all are more than the mail bears.
-	rootMail    = 0.5                   // part of its mail intake that a root spends on one customer
-	rootPeak    = 2.0                   // asks it must bear, as a multiple of those inside the quota
-	rootTicks   = 2                     // roots of a customer report to each other every so many ticks
-	rootAsks    = 2                     // times a root is asked before its deputy is
-	lostFor     = time.Second           // the deputy is asked at once for so long after
-	freshFill   = 0.8                   // part of a store that a root just started presumes
-	deputyPart  = 0.25                  // part of a hard ceiling that the deputy holds
-	leastReply  = 30 * time.Millisecond // an answer is waited for this long at least
-	replySpread = 2.5                   // and for this many mean times
-	thinSpan    = 12 * time.Second      // a root's word of what part fits is heeded so long
-	thinLeast   = 1.2                   // and this much more asked for, to find it when it grows
-	leaseAim    = 1.0                   // an attempt not told of as ended counts for this part of its aim
-	mostPace    = 12.0                  // most a server's pace is taken for
-	paceLearn   = 0.025                 // weight of an outcome in the pace at its watcher
-	paceStep    = 1.7                   // a pace is told when it changed by this factor
-	verdictMail = 0.1                   // part of a gateway's mail intake that verdicts may fill
-	verdictKeep = 2.0                   // verdicts a watcher may send at once
-	verdictLife = 8 * time.Second       // a verdict not told again lapses
-	otherZone   = 0.7                   // weight of a server in another zone
+	rootMail     = 0.5                   // part of its mail intake that a root spends on one customer
+	rootPeak     = 2.0                   // asks it must bear, as a multiple of those inside the quota
+	rootTicks    = 2                     // roots of a customer report to each other every so many ticks
+	rootAsks     = 2                     // times a root is asked before its deputy is
+	lostFor      = time.Second           // the deputy is asked at once for so long after
+	freshFill    = 0.8                   // part of a store that a root just started presumes
+	deputyPart   = 0.25                  // part of a hard ceiling that the deputy holds
+	leastReply   = 30 * time.Millisecond // an answer is waited for this long at least
+	replySpread  = 2.5                   // and for this many mean times
+	unheardPower = 4.0                   // what no root answers passes with this power of the share answered
+	thinSpan     = 20 * time.Second      // a root's word of what part fits is heeded so long
+	leaseAim     = 1.0                   // an attempt not told of as ended counts for this part of its aim
+	mostPace     = 12.0                  // most a server's pace is taken for
+	paceLearn    = 0.025                 // weight of an outcome in the pace at its watcher
+	paceStep     = 1.7                   // a pace is told when it changed by this factor
+	verdictMail  = 0.1                   // part of a gateway's mail intake that verdicts may fill
+	verdictKeep  = 2.0                   // verdicts a watcher may send at once
+	verdictLife  = 8 * time.Second       // a verdict not told again lapses
+	otherZone    = 0.7                   // weight of a server in another zone
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -93,7 +94,7 @@
 	}
 	mail := max(s.MailPerSecond*mailShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
-	g.own, g.gate = learn, 1
+	g.own, g.gate, g.heard = learn, 1, 1
 	if g.tree = g.tick > maxTick && s.CanTell; g.tree {
 		g.own = 0 // what the watchers tell is more than what this gateway sees
 	}
@@ -284,8 +285,11 @@
 	// its root could not take in all its asks, nor those of others then. Harms
 	// for as long as thinSpan when the customer stops asking for more.
 	r.asks = 1
-	if g.set.MailPerSecond > 0 && c.plan.Rate > 0 {
-		r.asks = min(1, c.part*thinLeast+(g.now-c.partAt).Seconds()/thinSpan.Seconds())
+	if c.plan.Rate > 0 && c.told > 0 {
+		r.asks = min(1, c.part+(g.now-c.partAt).Seconds()/thinSpan.Seconds())
+		if r.repeat {
+			r.asks *= r.asks
+		}
 	}
 	if g.rng.Float64() > r.asks {
 		g.refuse(r)
@@ -395,8 +399,7 @@
 	g.ended(r, ev.Code)
 	g.judge(s, r, ev)
 	if ev.Code == OK && ev.Actual > 0 && ev.Actual != r.units {
-		c.store -= ev.Actual - r.units
-		c.passed += uint16(int(ev.Actual - r.units))
+		c.settle(ev.Actual - r.units)
 	}
 	switch {
 	case r.over || ev.Over || ev.Code == OK:
@@ -421,7 +424,7 @@
 	if g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline {
 		return false
 	}
-	if !code.NeverRan() {
+	if !code.NeverRan() || code == Full {
 		g.budget--
 	}
 	return g.budget >= 0
@@ -597,11 +600,7 @@
 	case Full:
 		// It may turn away one plan only: this one goes elsewhere for a while.
 		s.fullAt[r.c.plan] = g.now + fullFor
-	case Moot:
-	case Cancelled, TimedOut:
-		// Silence tells hung servers from slow ones, not this.
-		seen := ev.Latency.Seconds() / r.cl.mean / (1 + queueWeight*r.load/g.sizeOf(s))
-		s.slow += g.own * (min(max(seen, s.slow), mostPace) - s.slow)
+		g.strain += strainOwn * (1 - g.strain)
 	}
 }
 
@@ -609,7 +608,7 @@
 // requests is refused. Guards against load this gateway is not told of, on all
 // servers: peers unheard, slow fleets. Harms where aims are near idle latencies.
 func (g *Gateway) adapt(dt time.Duration) {
-	if g.strain > gateAim {
+	if g.strain > gateAim || g.tree && g.strain > blindAim {
 		g.gate = g.gate * math.Exp(-dt.Seconds()/gateShut.Seconds())
 	} else {
 		g.gate = min(1, g.gate+dt.Seconds()/gateOpen.Seconds())
@@ -649,25 +648,17 @@
 	if g.set.FallTime > 0 {
 		g.sendRate *= math.Exp(-float64(dt) / float64(g.set.FallTime))
 	}
-	if !g.tree {
-		g.sumLoads()
-	}
+	g.sumLoads()
 	g.adapt(dt)
 	for _, s := range g.fleet {
 		// What is not tried is not learned: an old judgement wears off.
-		s.slow += (1 - s.slow) * min(1, dt.Seconds()/slowSpan.Seconds())
-		for i := range s.by {
-			s.by[i].errs -= s.by[i].errs * min(1, dt.Seconds()/slowSpan.Seconds())
-		}
+		s.wear(min(1, dt.Seconds()/slowSpan.Seconds()))
 		g.silence(s)
 		if slices.Contains(s.watchers[:], g.set.Me) {
 			g.tell(s)
 		}
 	}
-	for _, c := range g.ring {
-		c.expire(g.now)
-		c.measure(g.now, dt)
-	}
+	g.measure(dt)
 	for _, c := range slices.Clone(g.waiting) {
 		g.advance(c)
 		g.age(c)
@@ -749,7 +740,10 @@
 		r.asked = rootAsks
 	}
 	if delete(g.asks, r.tag); r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline {
-		if r.waits || g.now >= r.deadline || c.plan.HardRate > 0 || !g.within(r) || !g.try(r) {
+		// Where much of the mail is lost the roots are flooded: few may pass unheard.
+		pass := math.Pow(g.heard, unheardPower)
+		if r.waits || g.now >= r.deadline || g.rng.Float64() > pass || c.plan.HardRate > 0 ||
+			!g.within(r) || !g.try(r) {
 			g.refuse(r)
 		}
 		return
@@ -766,6 +760,9 @@
 		g.nextTag++
 		r.tag = g.nextTag
 	}
+	if r.asked > 0 {
+		g.heard -= learn * g.heard
+	}
 	r.root, r.askedAt = to, g.now
 	r.asked++
 	wait := max(leastReply, time.Duration(replySpread*float64(g.reply)))
@@ -780,11 +777,13 @@
 // in here.
 func (g *Gateway) onAsk(from int, m ask) {
 	c := g.customers[m.Customer]
-	if c == nil {
+	fresh := c == nil
+	if fresh {
 		c = g.account(m.Customer, g.plans[g.set.Plans[m.Plan].Name], int(m.First), int(m.Spread))
-		if m.Fill != unknownStore {
-			c.store = min(c.store, float64(m.Fill)/250*c.plan.Burst)
-		}
+	}
+	// One that counts for a root it can't hear goes by what the root last told.
+	if m.Fill != unknownStore && (fresh || len(c.ask) > 0) {
+		c.store = min(c.store, float64(m.Fill)/250*c.plan.Burst)
 	}
 	if r, held := c.asked(from, m.Tag); r != nil || held {
 		if r != nil {
@@ -827,6 +826,7 @@
 		g.reply += time.Duration(learn * float64(g.now-r.askedAt-g.reply))
 	}
 	g.advance(c)
+	g.heard += learn * (1 - g.heard)
 	g.strain += strainOwn * (float64(m.Strain)/100 - g.strain)
 	c.part, c.partAt = float64(m.Part)/250, g.now
 	c.store, c.told = float64(m.Fill)/250*c.plan.Burst, g.ticks+1
--- a/policy/report.go
+++ b/policy/report.go
@@ -184,9 +184,7 @@
 	for _, o := range m.servers {
 		p.outs[o.hash] = float64(o.out)
 	}
-	if !g.tree {
-		g.sumLoads()
-	}
+	g.sumLoads()
 	for _, e := range m.customers {
 		if c := g.byHash[e.hash]; c != nil {
 			g.hear(c, p, e)
--- a/policy/state.go
+++ b/policy/state.go
@@ -187,6 +187,7 @@
 	size      float64 // mean weight in the list
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
+	heard     float64 // share of asks that are answered
 	own       float64 // weight of an outcome in a server's pace here
 	gate      float64 // part of the requests let in
 	tree      bool    // reports from all to all would be too many
@@ -204,6 +205,12 @@
 	c.out += d
 }
 
+// settle takes or gives back units after a guess.
+func (c *customer) settle(units float64) {
+	c.store -= units
+	c.passed += uint16(int(units))
+}
+
 // sent and ended keep the lists of attempts out.
 func (g *Gateway) sent(r *request, s *server) {
 	r.c.count(g.now, 1)
@@ -231,10 +238,21 @@
 	return (r.cl.Group != GroupZone || s.Zone == r.ranZone) && (r.cl.Group != GroupCell || s.Cell == r.ranCell)
 }
 
-// measure takes the mean of attempts out over a tick.
-func (c *customer) measure(now, dt time.Duration) {
-	c.count(now, 0)
-	c.mean, c.area = c.area/dt.Seconds(), 0
+// measure takes each customer's mean of attempts out over a tick.
+func (g *Gateway) measure(dt time.Duration) {
+	for _, c := range g.ring {
+		c.expire(g.now)
+		c.count(g.now, 0)
+		c.mean, c.area = c.area/dt.Seconds(), 0
+	}
+}
+
+// wear lets a part of what is known of a server go.
+func (s *server) wear(part float64) {
+	s.slow += (1 - s.slow) * part
+	for i := range s.by {
+		s.by[i].errs -= s.by[i].errs * part
+	}
 }
 
 // expire drops the leases that have run out.
@@ -359,6 +377,9 @@
 
 // sumLoads sums the peers' attempts out at each server; old counts are let go.
 func (g *Gateway) sumLoads() {
+	if g.tree {
+		return // its reports tell of no servers
+	}
 	for _, s := range g.fleet {
 		s.heard = 0
 		for _, p := range g.peers {
