--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,7 +49,8 @@
 	sightWeight, sightLimit = 0.2, 0.45 // weight of a failure, average that puts a server out of use
 	trialWorth              = 0.6       // what a good trial leaves of a server's failures
 
-	trialEvery = time.Second
+	trialEvery = time.Second // a server out of use is tried again after this, then seldomer
+	trialMost  = 8 * time.Second
 	mostOut    = 0.7  // more out of use than this part are used all the same
 	gateAim    = 0.4  // mean latency over aim above which the gate closes
 	blindAim   = 0.25 // and where gateways don't see the load at servers
@@ -59,11 +60,11 @@
 	strainOwn          = 0.15                             // weight of an outcome or a root's word in it
 
 	// Where reports from all to all are more than the mail bears.
+	treeBeyond   = 2                     // the mail would stretch the longest tick by this factor
 	rootMail     = 0.5                   // part of its mail intake that a root spends on one customer
 	rootPeak     = 2.0                   // asks it must bear, as a multiple of those inside the quota
 	rootTicks    = 2                     // roots of a customer report to each other every so many ticks
 	rootAsks     = 2                     // times a root is asked before its deputy is
-	lostFor      = time.Second           // the deputy is asked at once for so long after
 	freshFill    = 0.8                   // part of a store that a root just started presumes
 	deputyPart   = 0.25                  // part of a hard ceiling that the deputy holds
 	leastReply   = 30 * time.Millisecond // an answer is waited for this long at least
@@ -95,7 +96,7 @@
 	mail := max(s.MailPerSecond*mailShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
 	g.own, g.gate, g.heard = learn, 1, 1
-	if g.tree = g.tick > maxTick && s.CanTell; g.tree {
+	if g.tree = g.tick > treeBeyond*maxTick && s.CanTell; g.tree {
 		g.own = 0 // what the watchers tell is more than what this gateway sees
 	}
 	g.nextTag, g.reply = g.rng.Uint32(), leastReply
@@ -519,7 +520,8 @@
 		if v := g.record(s, r.cl); v != nil && v.bad && g.now < v.until {
 			// Its watcher alone tries a server that is out of use.
 			if s.watchers[0] == g.set.Me && g.now >= v.trial && r.attempts == 0 && r.cl.Effect != Unsafe {
-				v.trial = g.now + trialEvery
+				v.wait = min(2*v.wait+trialEvery, trialMost)
+				v.trial = g.now + v.wait
 				return s
 			}
 			doubted = append(doubted, s)
@@ -736,9 +738,6 @@
 // their quotas.
 func (g *Gateway) ask(r *request) {
 	c := r.c
-	if r.asked == 0 && g.now < c.lostUntil {
-		r.asked = rootAsks
-	}
 	if delete(g.asks, r.tag); r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline {
 		// Where much of the mail is lost the roots are flooded: few may pass unheard.
 		pass := math.Pow(g.heard, unheardPower)
@@ -750,7 +749,7 @@
 	}
 	to := c.ask[0]
 	if r.asked == rootAsks {
-		to, c.lostUntil = c.ask[1], g.now+lostFor
+		to = c.ask[1]
 	}
 	if to == g.set.Me {
 		g.admit(r)
@@ -860,7 +859,7 @@
 	case OK:
 		v.errs *= 1 - sightWeight
 		if v.bad {
-			v.errs *= trialWorth
+			v.errs, v.wait = v.errs*trialWorth, 0
 		}
 	case Full:
 		seen = mostPace
--- a/policy/state.go
+++ b/policy/state.go
@@ -8,25 +8,24 @@
 )
 
 type customer struct {
-	key       uint64
-	hash      uint32 // in reports
-	plan      *quota
-	first     int // its gateways: spread of them, counted round from first
-	spread    int
-	ask       []int   // the gateways that sum its counts, where this one does not
-	part      float64 // of what is asked for fits, as its root said
-	partAt    time.Duration
-	sums      bool             // others ask it here, as its root or deputy
-	lostUntil time.Duration    // its root is taken for lost
-	leases    map[lease]leased // granted to others and not told of as ended
-	set       []*peerView      // its other gateways
-	n         float64          // its gateways, this one included
-	held      []*request       // waiting, in arrival order
-	out       int
-	seen      time.Duration // its last request
-	area      float64       // integral of out over the tick, for its mean
-	areaAt    time.Duration
-	mean      float64
+	key    uint64
+	hash   uint32 // in reports
+	plan   *quota
+	first  int // its gateways: spread of them, counted round from first
+	spread int
+	ask    []int   // the gateways that sum its counts, where this one does not
+	part   float64 // of what is asked for fits, as its root said
+	partAt time.Duration
+	sums   bool             // others ask it here, as its root or deputy
+	leases map[lease]leased // granted to others and not told of as ended
+	set    []*peerView      // its other gateways
+	n      float64          // its gateways, this one included
+	held   []*request       // waiting, in arrival order
+	out    int
+	seen   time.Duration // its last request
+	area   float64       // integral of out over the tick, for its mean
+	areaAt time.Duration
+	mean   float64
 
 	at        time.Duration // time of the stores below
 	store     float64       // estimate of the quota's store
@@ -72,6 +71,7 @@
 	okAt  time.Duration // its last answer here
 	bad   bool          // out of use for the class, until a time
 	until time.Duration
+	wait  time.Duration // after its last trial
 	trial time.Duration // when the watcher may next try it
 }
 
