--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,32 +28,36 @@
 	untold           = 0.01                  // what a tick untold adds to a place in the report
 	repeatTicks      = 3                     // a change is told in this many reports
 
-	choices             = 4    // servers compared for an attempt
-	zonePrice           = 25.0 // service times to which a charge of one unit for another zone compares
-	queueWeight         = 0.5  // what each attempt out adds to a server's latency, in service times
-	waitAim             = 0.15 // a server is full when the wait passes this part of the shortest aim
-	leastOut            = 2.0  // but not below this many attempts out
-	retryReserve        = 0.5  // part of the store that clients' repeats leave to first tries
-	pressedFor          = 200 * time.Millisecond
-	holdAim             = 0.5              // a request is held for this part of its aim
-	firstGuess          = 8.0              // a request's first guessed latency is its aim over this
-	learn, learnMean    = 0.1, 0.03        // weight of an outcome in a server's pace, in a class's latency
-	slowSpan            = 10 * time.Second // an old judgement wears off in this time
-	fullFor             = 2 * time.Second
-	idleAfter           = 10 * time.Minute // a customer not seen for so long is forgotten
-	retryEarn, retryCap = 0.15, 12.0       // retry budget earned by each first attempt, most kept
-	coldSafety          = 0.5              // part of the cold budget used
+	evenRate, evenLeast    = 0.02, 0.05 // demand of each gateway taken for granted: of the rate, units
+	arriveSlack, freeSlack = 0.5, 0.25  // parts of a place that count as one, at arrival and later
+	jitter                 = 0.2        // spread of a prediction, so that none is left untried
+	mostLatency            = 4.0        // a latency counts for so many means at most
+	choices                = 4          // servers compared for an attempt
+	zonePrice              = 25.0       // service times that a charge of one for another zone is worth
+	queueWeight            = 0.5        // what each attempt out adds to a server's latency, in service times
+	waitAim                = 0.15       // a server is full when the wait passes this part of the shortest aim
+	leastOut               = 2.0        // but not below this many attempts out
+	retryReserve           = 0.5        // part of the store that clients' repeats leave to first tries
+	pressedFor             = 200 * time.Millisecond
+	holdAim                = 0.5              // a request is held for this part of its aim
+	firstGuess             = 8.0              // a request's first guessed latency is its aim over this
+	learn, learnMean       = 0.1, 0.03        // weight of an outcome in a server's pace, in a class's latency
+	slowSpan               = 10 * time.Second // an old judgement wears off in this time
+	fullFor                = 2 * time.Second
+	idleAfter              = 10 * time.Minute // a customer not seen for so long is forgotten
+	retryEarn, retryCap    = 0.15, 12.0       // retry budget earned by each first attempt, most kept
+	coldSafety             = 0.5              // part of the cold budget used
 
 	leastLate               = 0.1       // an attempt is overdue after this part of its aim at the soonest,
 	overdue                 = 4.0       // when so many times as old as predicted
 	sightWeight, sightLimit = 0.2, 0.45 // weight of a failure, average that puts a server out of use
 	trialWorth              = 0.6       // what a good trial leaves of a server's failures
 
-	trialEvery = time.Second // a server out of use is tried again after this, then seldomer
-	trialMost  = 8 * time.Second
-	mostOut    = 0.7  // more out of use than this part are used all the same
-	gateAim    = 0.4  // mean latency over aim above which the gate closes
-	blindAim   = 0.25 // and where gateways don't see the load at servers
+	trialEvery, trialMost = time.Second, 8 * time.Second // between trials of a server out of use
+
+	mostOut  = 0.7  // when more are out of use they are used all the same
+	gateAim  = 0.4  // mean latency over aim above which the gate closes
+	blindAim = 0.25 // and where gateways don't see the load at servers
 
 	gateShut, gateOpen = 3 * time.Second, 8 * time.Second // to 1/e in this time, and opens
 	gateLeast          = 0.25                             // enough to learn from when all is well again
@@ -197,7 +201,7 @@
 func (g *Gateway) silent(p *peer) bool { return !p.heard || g.now-p.at > staleTicks*g.tick }
 
 // even is the demand taken for granted: a fresh customer's split is even.
-func (g *Gateway) even(c *customer) float64 { return 0.02*c.plan.Rate + 0.05 }
+func (g *Gateway) even(c *customer) float64 { return evenRate*c.plan.Rate + evenLeast }
 
 // weight is a peer's demand in the demand split. One not heard for long counts
 // as much as this gateway, then less, but never nothing: it may be cut off and
@@ -264,9 +268,9 @@
 	free := float64(c.plan.Open) - out
 	next := float64(c.out + 1)
 	if arrival {
-		return next <= max(free*g.share(c), min(1, free+0.5))
+		return next <= max(free*g.share(c), min(1, free+arriveSlack))
 	}
-	return next <= free+0.25
+	return next <= free+freeSlack
 }
 
 // Requests.
@@ -289,9 +293,6 @@
 	r.asks = 1
 	if c.plan.Rate > 0 && c.told > 0 {
 		r.asks = min(1, c.part+(g.now-c.partAt).Seconds()/thinSpan.Seconds())
-		if r.repeat {
-			r.asks *= r.asks
-		}
 	}
 	if g.rng.Float64() > r.asks {
 		g.refuse(r)
@@ -545,7 +546,7 @@
 		if g.full(s) {
 			continue
 		}
-		p := g.predict(s, r.cl) * (0.9 + 0.2*g.rng.Float64())
+		p := g.predict(s, r.cl) * (1 - jitter/2 + jitter*g.rng.Float64())
 		k++
 		if s.Zone != g.set.Zone {
 			p += r.cl.mean * g.set.CrossZoneCost * zonePrice
@@ -599,7 +600,7 @@
 		s.slow += g.own * (min(lat/r.cl.mean, mostPace) - s.slow)
 		g.mean += learnMean * (r.cl.mean - g.mean)
 		r.cl.seen++ // the first outcomes count for more
-		r.cl.mean += max(learnMean, 1/(r.cl.seen+1)) * (min(lat, 4*r.cl.mean) - r.cl.mean)
+		r.cl.mean += max(learnMean, 1/(r.cl.seen+1)) * (min(lat, mostLatency*r.cl.mean) - r.cl.mean)
 	case Full:
 		// It may turn away one plan only: this one goes elsewhere for a while.
 		s.fullAt[r.c.plan] = g.now + fullFor
@@ -718,10 +719,8 @@
 		v.passed = 0
 	}
 	if v.heard {
-		d := float64(int(e.passed-v.passed+64) - 64)
-		if d > -8*max(1, g.set.LargestUnits) && d <= c.plan.Burst+10*c.plan.Rate {
-			c.store = min(c.plan.Burst, max(0, c.store-d))
-		}
+		d := float64(int16(e.passed - v.passed)) // settled units may take it back
+		c.store = min(c.plan.Burst, max(0, c.store-d))
 	}
 	v.heard, v.inc, v.passed = true, p.inc, e.passed
 	if !c.known && e.store != unknownStore {
--- a/policy/report.go
+++ b/policy/report.go
@@ -37,21 +37,17 @@
 
 // entry is a report's part on one customer.
 type entry struct {
-	hash    uint32 // 24 bits
-	out     byte   // mean attempts out over the tick: outScale times its root, up to 15
-	held    byte   // up to maxHeld
-	passed  byte   // running total of units passed
-	rate    byte   // units asked for a second: rateScale * log2(1 + rate), up to maxRate
-	store   byte   // estimate of the store, 250 full
-	ceiling bool   // whether level and gift are there
-	level   byte   // filling of the ceiling's own part, 250 full
-	gift    byte   // units of it given to the receiver, in 32nds
+	hash   uint32 // 24 bits
+	out    byte   // mean attempts out over the tick: outScale times its root, up to 15
+	held   byte   // up to maxHeld
+	passed uint16 // running total of units passed
+	rate   byte   // units asked for a second: rateScale * log2(1 + rate), up to maxRate
+	store  byte   // estimate of the store, 250 full
 }
 
 const (
-	reportVersion = 2
+	reportVersion = 4
 	flagComplete  = 1
-	flagCeiling   = 0x80
 	maxRate       = 0x7f
 	maxHeld       = 15
 	maxOut        = 31
@@ -62,14 +58,13 @@
 	maxMessage    = 256
 	headerSize    = 11
 	serverSize    = 2
-	entrySize     = 7
+	entrySize     = 8
 	rateScale     = 8
-	ceilingSize   = 2
 )
 
 // fits tells whether one more customer fits in.
 func (m *report) fits() bool {
-	n := headerSize + serverSize*len(m.servers) + (entrySize+ceilingSize)*(len(m.customers)+1)
+	n := headerSize + serverSize*len(m.servers) + entrySize*(len(m.customers)+1)
 	return n <= maxMessage
 }
 
@@ -87,14 +82,9 @@
 		b = binary.BigEndian.AppendUint16(b, s.hash<<(16-serverBits)|uint16(s.out))
 	}
 	for _, e := range m.customers {
-		rate := e.rate
-		if e.ceiling {
-			rate |= flagCeiling
-		}
-		b = append(b, byte(e.hash>>16), byte(e.hash>>8), byte(e.hash), e.out<<4|e.held, e.passed, rate, e.store)
-		if e.ceiling {
-			b = append(b, e.level, e.gift)
-		}
+		b = append(b, byte(e.hash>>16), byte(e.hash>>8), byte(e.hash), e.out<<4|e.held)
+		b = binary.BigEndian.AppendUint16(b, e.passed)
+		b = append(b, e.rate, e.store)
 	}
 	return b
 }
@@ -121,15 +111,8 @@
 			return m, false
 		}
 		e := entry{hash: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), out: b[3] >> 4, held: b[3] & maxHeld,
-			passed: b[4], rate: b[5] & maxRate, ceiling: b[5]&flagCeiling != 0, store: b[6]}
+			passed: binary.BigEndian.Uint16(b[4:]), rate: b[6] & maxRate, store: b[7]}
 		b = b[entrySize:]
-		if e.ceiling {
-			if len(b) < ceilingSize {
-				return m, false
-			}
-			e.level, e.gift = b[0], b[1]
-			b = b[ceilingSize:]
-		}
 		m.customers = append(m.customers, e)
 	}
 	return m, true
@@ -156,7 +139,7 @@
 		g.advance(c)
 		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
 			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
-			passed: byte(c.passed), store: unknownStore,
+			passed: c.passed, store: unknownStore,
 			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
 		if c.known && c.plan.Burst > 0 {
 			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
--- a/policy/state.go
+++ b/policy/state.go
@@ -83,7 +83,7 @@
 	inc    uint32
 	out    float64
 	held   float64
-	passed byte
+	passed uint16
 	rate   float64 // asked units, decayed
 }
 
