--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 	queueWeight            = 0.5        // what each attempt out adds to a server's latency, in service times
 	waitAim                = 0.15       // a server is full when the wait passes this part of the shortest aim
 	leastOut               = 2.0        // but not below this many attempts out
-	retryReserve           = 0.5        // part of the store that clients' repeats leave to first tries
+	retryReserve           = 0.7        // part of the store that clients' repeats leave to first tries
 	pressedFor             = 200 * time.Millisecond
 	holdAim                = 0.5              // a request is held for this part of its aim
 	firstGuess             = 8.0              // a request's first guessed latency is its aim over this
