Refusals and failures say why

A running node must tell clients, logs and later the portal why a request was not served; the module's Refuse and Fail did not say. Each now carries a Reason, also across the answer of a root (in bits that an older gateway reads as refused).

--- a/policy/api.go
+++ b/policy/api.go
@@ -203,14 +203,35 @@
 	Attempt int
 }
 
+// Reason says why a request was not served. It explains a decision to clients
+// and operators; no decision rests on it.
+type Reason byte
+
+// The reasons.
+const (
+	NoReason  Reason = iota
+	OverQuota        // the customer's rate quota has no room
+	OverCap          // its cap on attempts out at once was full for too long
+	OverHard         // its hard ceiling has no room
+	Shed             // the gate lets in only a part, or a repeat gives way to first tries
+	NoServer         // no server could take it in time
+	NoTime           // too little time was left
+	NoRoot           // who keeps the customer's counts did not answer
+	Attempted        // attempts were made and no further one may be
+)
+
 // Refuse is the final answer that says a retry is harmless.
 type Refuse struct {
 	ID         RequestID
 	RetryAfter time.Duration // advice to the client; 0: none
+	Reason     Reason
 }
 
 // Fail is the final answer that promises nothing.
-type Fail struct{ ID RequestID }
+type Fail struct {
+	ID     RequestID
+	Reason Reason
+}
 
 // SetTimer asks for a Timer event after a time.
 type SetTimer struct {
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -144,7 +144,7 @@
 		case g.now+g.set.Resolution <= r.until: // a timer may come a rounding early
 			g.asking = append(g.asking, r)
 		case r.waits:
-			g.refuse(r)
+			g.refuse(r, OverCap)
 		default:
 			g.ask(r)
 		}
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -30,8 +30,10 @@
 
 const (
 	granted byte = iota
-	refused
-	waits // held at the root, another answer follows
+	refused      // and above it the reason, which an older gateway reads as refused too
+	waits        // held at the root, another answer follows
+
+	reasonShift = 2
 )
 
 // ended tells the root that a granted attempt is over, or was never made.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -279,8 +279,8 @@
 	c := r.c
 	c.rate += r.units
 	// With no time left any wait is too long.
-	if r.deadline-g.now <= 2*g.set.Resolution || g.rng.Float64() > g.gate {
-		g.refuse(r)
+	if late := r.deadline-g.now <= 2*g.set.Resolution; late || g.rng.Float64() > g.gate {
+		g.refuse(r, either(late, NoTime, Shed))
 		return
 	}
 	if len(c.ask) == 0 {
@@ -295,7 +295,7 @@
 		r.asks = min(1, c.part+(g.now-c.partAt).Seconds()/thinSpan.Seconds())
 	}
 	if g.rng.Float64() > r.asks {
-		g.refuse(r)
+		g.refuse(r, OverQuota)
 		return
 	}
 	g.ask(r)
@@ -309,8 +309,8 @@
 	// wait for servers or the store is low. Guards against retry storms; harms
 	// where repeats come soon and aims are long.
 	scarce := c.plan.Rate > 0 && g.allowance(c) < r.units+retryReserve*c.plan.Burst
-	if !g.within(r) || r.repeat && (scarce || !r.remote && g.pressed()) {
-		g.refuse(r)
+	if within := g.within(r); !within || r.repeat && (scarce || !r.remote && g.pressed()) {
+		g.refuse(r, either(within, Shed, g.over(r)))
 		return
 	}
 	if len(c.held) == 0 && g.room(c, true) && g.try(r) {
@@ -341,7 +341,7 @@
 // time is answered now.
 func (g *Gateway) hold(r *request) {
 	if g.now+g.tick+2*g.set.Resolution >= r.deadline {
-		g.refuse(r)
+		g.refuse(r, g.lacking(r))
 		return
 	}
 	g.queue(r)
@@ -380,13 +380,13 @@
 }
 
 // refuse gives the final answer: a refusal where a retry is harmless.
-func (g *Gateway) refuse(r *request) {
+func (g *Gateway) refuse(r *request, why Reason) {
 	if r.remote {
-		g.answer(r, refused)
+		g.answer(r, refused+byte(why)<<reasonShift)
 	} else if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
-		g.do(Fail{ID: r.id})
+		g.do(Fail{r.id, why})
 	} else {
-		g.do(Refuse{ID: r.id, RetryAfter: g.set.MaxRetryAfter})
+		g.do(Refuse{r.id, g.set.MaxRetryAfter, why})
 	}
 	g.close(r)
 }
@@ -408,7 +408,7 @@
 	case r.over || ev.Over || ev.Code == OK:
 		g.close(r)
 	case ev.Code == Moot || g.now >= r.deadline || !g.again(r, ev.Code):
-		g.refuse(r)
+		g.refuse(r, Attempted)
 	case !g.room(c, false) || !g.try(r):
 		g.hold(r)
 	}
@@ -440,7 +440,7 @@
 		r := c.held[0]
 		g.advance(c)
 		if !g.within(r) {
-			g.refuse(r)
+			g.refuse(r, g.over(r))
 			continue
 		}
 		if !g.room(c, false) {
@@ -688,7 +688,7 @@
 func (g *Gateway) age(c *customer) {
 	for _, r := range slices.Clone(c.held) {
 		if g.now-r.arrived > time.Duration(holdAim*float64(r.cl.Aim)) || g.now+2*g.tick >= r.deadline {
-			g.refuse(r)
+			g.refuse(r, g.lacking(r))
 		}
 	}
 }
@@ -743,7 +743,7 @@
 		pass := math.Pow(g.heard, unheardPower)
 		if r.waits || g.now >= r.deadline || g.rng.Float64() > pass || c.plan.HardRate > 0 ||
 			!g.within(r) || !g.try(r) {
-			g.refuse(r)
+			g.refuse(r, either(r.waits, OverCap, NoRoot))
 		}
 		return
 	}
@@ -836,11 +836,11 @@
 	}
 	delete(g.asks, m.Tag)
 	if m.Verdict != granted {
-		g.refuse(r)
+		g.refuse(r, Reason(m.Verdict>>reasonShift))
 		return
 	}
 	if r.granted = true; !g.within(r) {
-		g.refuse(r)
+		g.refuse(r, g.over(r))
 	} else if !g.try(r) {
 		g.hold(r)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -420,3 +420,27 @@
 		}
 	}
 }
+
+// over names the quota that a request does not fit in.
+func (g *Gateway) over(r *request) Reason {
+	if c := r.c; c.plan.Rate > 0 && !r.granted && g.allowance(c) < r.units {
+		return OverQuota
+	}
+	return OverHard
+}
+
+// lacking says what a held request waited for: a place under its customer's
+// cap, or a server.
+func (g *Gateway) lacking(r *request) Reason {
+	if !g.room(r.c, false) {
+		return OverCap
+	}
+	return either(r.ran, Attempted, NoServer)
+}
+
+func either(yes bool, a, b Reason) Reason {
+	if yes {
+		return a
+	}
+	return b
+}
