--- /dev/null
+++ b/audit/records.go
@@ -0,0 +1,85 @@
+// Package audit checks the five rules from what clients got and servers
+// received, and from nothing a node says of itself. It has no I/O.
+package audit
+
+import "time"
+
+// Tried is a client's record of one try.
+type Tried struct {
+	Trace    string // request id, unique to the try
+	Node     int
+	Front    string
+	Customer string
+	Plan     string
+	Class    string
+	Units    float64
+	Sent     time.Time
+	GiveUp   time.Time // the client waits until then
+	Answered time.Time // zero: no answer came
+	Answer   string    // served, refused, failed; "": none
+	Reason   string
+	Status   int
+	Extra    bool // more bytes came after the answer
+	Repeat   bool // a client's retry of an earlier try
+	Beyond   bool // sent beyond the customer's quota on purpose
+	Err      string
+}
+
+// Seen is a server's record of one attempt that arrived whole.
+type Seen struct {
+	Trace    string
+	Server   string
+	Rack     string // the group that drops repeats
+	Class    string
+	Key      string
+	At       time.Time
+	End      time.Time // answered, or its connection ended
+	Away     bool      // turned away: the answer says that nothing ran
+	Ran      bool      // the work took effect
+	Dropped  bool      // a repeat that the rack dropped
+	Answered bool
+}
+
+// Told is discovery's record of what it told a node of a server.
+type Told struct {
+	Node   int
+	Server string
+	At     time.Time
+	Down   bool // draining or gone; false: running
+}
+
+// Fell is the record of a server that was pushed over while cold.
+type Fell struct {
+	Server string
+	At     time.Time
+}
+
+// Down is a time in which a node did not run: killed, or stopped.
+type Down struct {
+	Node     int
+	From, To time.Time
+}
+
+// Class is what the rules need to know of a class.
+type Class struct {
+	Effect string // safe, keyed, unsafe
+	Window time.Duration
+	// GroupAll: all servers drop repeats of each other; else those of a rack.
+	GroupAll bool
+}
+
+// Ceiling is a plan's hard ceiling.
+type Ceiling struct{ Rate, Burst, Slack float64 }
+
+// Record is all that was recorded of a run.
+type Record struct {
+	Tried    []Tried
+	Seen     []Seen
+	Told     []Told
+	Fell     []Fell
+	Down     []Down
+	Classes  map[string]Class
+	Ceilings map[string]Ceiling // by plan
+	Grace    time.Duration      // of drains
+	Slop     time.Duration      // by which clocks and wakings of one machine may differ
+}
--- /dev/null
+++ b/authz/client/client.go
@@ -0,0 +1,134 @@
+// Package client asks an external authorisation service over gRPC (Envoy's
+// ext_authz v3, envoy.service.auth.v3.Authorization/Check).
+package client
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	authv3 "github.com/envoyproxy/go-control-plane/envoy/service/auth/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"yardcleat.example/yardcleat/authz"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
+)
+
+// Client asks one authoriser. It is a node.Authoriser.
+type Client struct {
+	cc   *grpc.ClientConn
+	auth authv3.AuthorizationClient
+}
+
+// Dial makes a client for an address. It connects when first used, and again
+// within a second once the authoriser is back.
+func Dial(n network.Network, address string) (*Client, error) {
+	cc, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) { return n.Dial(ctx, addr) }),
+		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}))
+	if err != nil {
+		return nil, err
+	}
+	return &Client{cc, authv3.NewAuthorizationClient(cc)}, nil
+}
+
+// Close ends the connection; Checks under way fail.
+func (c *Client) Close() error { return c.cc.Close() }
+
+// Check asks for a try; see node.Authoriser. The budget goes on the wire as
+// grpc-timeout.
+func (c *Client) Check(t *node.Try, budget time.Duration, done func(node.Checked)) (cancel func()) {
+	ctx, stop := context.WithTimeout(context.Background(), budget)
+	req := request(t)
+	go func() {
+		defer stop()
+		resp, err := c.auth.Check(ctx, req)
+		if ctx.Err() == context.Canceled {
+			return
+		}
+		done(result(resp, err))
+	}()
+	return stop
+}
+
+func request(t *node.Try) *authv3.CheckRequest {
+	headers := make(map[string]string, len(t.Call.Header))
+	for _, f := range t.Call.Header {
+		name := strings.ToLower(f.Name)
+		if old, twice := headers[name]; twice {
+			headers[name] = old + "," + f.Value
+			continue
+		}
+		headers[name] = f.Value
+	}
+	return &authv3.CheckRequest{Attributes: &authv3.AttributeContext{
+		Source: &authv3.AttributeContext_Peer{Principal: t.Customer},
+		Request: &authv3.AttributeContext_Request{
+			Time: timestamppb.Now(),
+			Http: &authv3.AttributeContext_HttpRequest{Id: t.Trace, Method: t.Call.Method, Path: t.Call.Target,
+				Host: t.Call.Host, Scheme: "http", Protocol: "HTTP/1.1", Headers: headers, Size: int64(len(t.Call.Body))},
+		},
+		ContextExtensions: map[string]string{"class": t.Class, "customer": t.Customer, "plan": t.Plan},
+	}}
+}
+
+func result(resp *authv3.CheckResponse, err error) node.Checked {
+	if err != nil {
+		c := node.Checked{Verdict: authz.Unreachable, Detail: "authoriser: " + err.Error()}
+		if status.Code(err) == codes.DeadlineExceeded {
+			c.Verdict = authz.Late
+		}
+		return c
+	}
+	if resp.GetStatus().GetCode() == int32(codes.OK) {
+		ok := resp.GetOkResponse()
+		c := node.Checked{Verdict: authz.Allowed}
+		for _, h := range ok.GetHeaders() {
+			put(h, &c.Set, &c.Append)
+		}
+		for _, name := range ok.GetHeadersToRemove() {
+			if f := (http1.Field{Name: name}); f.Settable() {
+				c.Remove = append(c.Remove, name)
+			}
+		}
+		return c
+	}
+	denied := resp.GetDeniedResponse()
+	res := &node.Response{Status: int(denied.GetStatus().GetCode()), Body: []byte(denied.GetBody())}
+	if res.Status < 300 || res.Status > 599 {
+		res.Status = 403
+	}
+	for _, h := range denied.GetHeaders() {
+		put(h, &res.Header, &res.Header)
+	}
+	return node.Checked{Verdict: authz.Denied, Denial: res}
+}
+
+// put adds an authoriser's field to those that replace or to those that add.
+// One that may not be set is dropped. By the specification of ok_response a
+// field sets unless its append is true; the zero append_action can't be told
+// from one left out, so it sets, too.
+func put(h *corev3.HeaderValueOption, set, add *http1.Header) {
+	f := http1.Field{Name: h.GetHeader().GetKey(), Value: h.GetHeader().GetValue()}
+	if f.Value == "" {
+		f.Value = string(h.GetHeader().GetRawValue())
+	}
+	switch {
+	case !f.Settable():
+	case h.GetAppend().GetValue():
+		add.Add(f.Name, f.Value)
+	default:
+		set.Set(f.Name, f.Value)
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,160 @@
+// Package config reads a node's configuration in HCL and checks all of it:
+// every mistake is reported with file, line and what would be right.
+package config
+
+import (
+	"log/slog"
+	"time"
+
+	"yardcleat.example/yardcleat/policy"
+)
+
+// Config is a checked configuration.
+type Config struct {
+	Number   int    // this node's, from 0
+	Zone     string // the room it stands in
+	StateDir string // where it remembers things across restarts; "": nowhere
+
+	LogLevel slog.Level
+	LogJSON  bool
+
+	Listeners  []Listener
+	Clients    Clients
+	Classes    []Class
+	Plans      []policy.Plan
+	Customers  []Customer
+	Peers      Peers
+	Servers    Servers
+	Authoriser *Authoriser
+	Limits     Limits
+}
+
+// ListenerKind is the protocol of a listener.
+type ListenerKind string
+
+// The kinds of listener.
+const (
+	HTTP     ListenerKind = "http"
+	ExtAuthz ListenerKind = "ext_authz"
+)
+
+// Listener is an address that clients or proxies reach the node at.
+type Listener struct {
+	Kind    ListenerKind
+	Name    string
+	Address string
+}
+
+// Clients says how requests tell who asks and for how long.
+type Clients struct {
+	KeyHeader      string // names the customer by one of its keys
+	PatienceHeader string // milliseconds until the client gives up this try
+	MaxRetryAfter  time.Duration
+}
+
+// Class is a class of requests with the routes that lead to it.
+type Class struct {
+	policy.Class
+	Units         float64
+	Authorisation Authorisation
+	Routes        []Route
+}
+
+// Authorisation says whether a class is put to the authoriser, and what
+// happens when that gives no answer in time.
+type Authorisation string
+
+// The modes.
+const (
+	Skip        Authorisation = "skip"   // it is not asked
+	RefuseClass Authorisation = "refuse" // no answer: refused
+	AllowClass  Authorisation = "allow"  // no answer: let pass
+)
+
+// Route names the requests of a class. A path is made of segments; {name}
+// stands for any one segment, {name...} at the end for all that follow.
+type Route struct{ Method, Path string }
+
+// Customer is who a quota is for.
+type Customer struct {
+	Name  string
+	Plan  string
+	Keys  []string
+	First int // its requests come in through Spread nodes counted round from First
+	Nodes int
+}
+
+// Peers says how the nodes of a fleet reach each other.
+type Peers struct {
+	Listen        string
+	Addresses     map[int]string // by number, this node's left out
+	Key           []byte         // 32 bytes, shared by the fleet
+	MailPerSecond float64        // messages a node takes in
+	Freshness     time.Duration  // a message sent longer ago is dropped
+}
+
+// Server is one line of a static server list.
+type Server struct {
+	Name    string
+	Address string
+	Zone    string
+	Cell    int
+	Weight  float64
+}
+
+// Servers says where the servers are known from and what may be asked of them.
+type Servers struct {
+	Static     []Server
+	EDSAddress string // of an xDS management server; "": none
+	EDSCluster string
+
+	ColdShare    float64
+	WarmWithin   time.Duration
+	FallMultiple float64
+	FallTime     time.Duration
+
+	// A response of this status with this field proves that nothing ran.
+	TurnedAwayStatus int
+	TurnedAwayHeader string
+}
+
+// Authoriser is the external authorisation service.
+type Authoriser struct {
+	Address string
+	Timeout time.Duration // most time one Check may take
+	MostOut int           // most Checks out at once
+}
+
+// Limits bounds what the node takes on.
+type Limits struct {
+	Line, Fields, Header int // bytes of a line, fields and bytes of a header
+	Body                 int64
+	AnswerBody           int64         // bytes of a server's response
+	HeaderTime           time.Duration // from a connection's first byte to the whole header
+	BodyTime             time.Duration // and to the whole body
+	IdleTime             time.Duration // a connection without a request is closed after it
+	WriteTime            time.Duration // for a client to take an answer
+	Connections          int           // of clients, per listener
+	Requests             int           // not answered yet
+	AnswerMargin         time.Duration // answers leave so long before the client gives up
+	ConnectTime          time.Duration // to connect to a server
+	IdleUpstream         int           // idle connections kept to each server
+	MaxAttempts          int           // for one request
+}
+
+// Settings makes the module's settings.
+func (c *Config) Settings() policy.Settings {
+	s := policy.Settings{
+		Me: c.Number, Gateways: len(c.Peers.Addresses) + 1, Zone: c.Zone, Plans: c.Plans,
+		Resolution: time.Millisecond, MaxAttempts: c.Limits.MaxAttempts, CanCancel: true,
+		CanTell: len(c.Peers.Addresses) > 0, MailPerSecond: c.Peers.MailPerSecond,
+		MaxRetryAfter: c.Clients.MaxRetryAfter, SizeKnown: true,
+		ColdShare: c.Servers.ColdShare, WarmWithin: c.Servers.WarmWithin,
+		FallMultiple: c.Servers.FallMultiple, FallTime: c.Servers.FallTime,
+	}
+	for _, cl := range c.Classes {
+		s.Classes = append(s.Classes, cl.Class)
+		s.LargestUnits = max(s.LargestUnits, cl.Units)
+	}
+	return s
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,152 @@
+// Package fleet keeps a node's list of servers: from the configuration, or from
+// an xDS management server over EDS, with the last good list remembered on disk.
+package fleet
+
+import (
+	"cmp"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/zeebo/blake3"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// ID is a server's name in the module and in messages between nodes. It follows
+// from the address alone, so all nodes give the same.
+func ID(address string) policy.ServerID {
+	h := fnv.New32a()
+	h.Write([]byte(address))
+	return policy.ServerID(h.Sum32())
+}
+
+// Static makes the list that stands in a configuration.
+func Static(in []config.Server) ([]node.Server, error) {
+	var list []node.Server
+	for _, s := range in {
+		list = append(list, node.Server{Address: s.Address, Server: policy.Server{ID: ID(s.Address), Zone: s.Zone,
+			Cell: s.Cell, Weight: s.Weight}})
+	}
+	return list, distinct(list)
+}
+
+// distinct sorts a list by address, and refuses two servers of one address or,
+// once in some 10,000 lists of 600, of one ID.
+func distinct(list []node.Server) error {
+	slices.SortFunc(list, func(a, b node.Server) int { return cmp.Compare(a.Address, b.Address) })
+	byID := map[policy.ServerID]string{}
+	for _, s := range list {
+		if old, twice := byID[s.ID]; twice {
+			if old == s.Address {
+				return fmt.Errorf("fleet: address %s twice in the list", old)
+			}
+			return fmt.Errorf("fleet: addresses %s and %s have one ID, %d; change one", old, s.Address, s.ID)
+		}
+		byID[s.ID] = s.Address
+	}
+	return nil
+}
+
+// memory is the remembered list's file.
+type memory struct {
+	Version int             `json:"version"`
+	Sum     string          `json:"sum"` // BLAKE3 of Servers, in hex
+	Servers json.RawMessage `json:"servers"`
+}
+
+type line struct {
+	Address string       `json:"address"`
+	Zone    string       `json:"zone,omitempty"`
+	Cell    int          `json:"cell,omitempty"`
+	Weight  float64      `json:"weight"`
+	State   policy.State `json:"state,omitempty"`
+	Started *time.Time   `json:"started,omitempty"`
+}
+
+const memoryVersion = 1
+
+func sum(b []byte) string {
+	s := blake3.Sum256(b)
+	return hex.EncodeToString(s[:])
+}
+
+// Remember writes a list to a file, in one step.
+func Remember(path string, list []node.Server) error {
+	lines := make([]line, 0, len(list))
+	for _, s := range list {
+		l := line{Address: s.Address, Zone: s.Zone, Cell: s.Cell, Weight: s.Weight, State: s.State}
+		if !s.Started.IsZero() {
+			l.Started = &s.Started
+		}
+		lines = append(lines, l)
+	}
+	servers, err := json.Marshal(lines)
+	if err != nil {
+		return err
+	}
+	b, err := json.Marshal(memory{memoryVersion, sum(servers), servers})
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), ".servers-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	if _, err = f.Write(b); err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+// Recall reads a remembered list. It is nil, without an error, where there is
+// no file; a torn or foreign file is an error.
+func Recall(path string) ([]node.Server, error) {
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var m memory
+	if err := json.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("fleet: %s is torn or not a server list: %w", path, err)
+	}
+	if m.Version != memoryVersion {
+		return nil, fmt.Errorf("fleet: %s is of version %d, not %d", path, m.Version, memoryVersion)
+	}
+	if sum(m.Servers) != m.Sum {
+		return nil, fmt.Errorf("fleet: %s is damaged: its sum differs", path)
+	}
+	var lines []line
+	if err := json.Unmarshal(m.Servers, &lines); err != nil {
+		return nil, fmt.Errorf("fleet: %s: %w", path, err)
+	}
+	var list []node.Server
+	for _, l := range lines {
+		s := node.Server{Address: l.Address, Server: policy.Server{ID: ID(l.Address), Zone: l.Zone, Cell: l.Cell,
+			Weight: l.Weight, State: l.State}}
+		if l.Started != nil {
+			s.Started = *l.Started
+		}
+		list = append(list, s)
+	}
+	return list, distinct(list)
+}
--- /dev/null
+++ b/front/extauthz/server.go
@@ -0,0 +1,247 @@
+// Package extauthz is the front for proxies: Envoy's ext_authz v3 over gRPC.
+// A Check asks whether a request may go and to which server; the proxy makes the
+// attempt itself and reports its end by the access log service (ALS).
+package extauthz
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	datav3 "github.com/envoyproxy/go-control-plane/envoy/data/accesslog/v3"
+	alsv3 "github.com/envoyproxy/go-control-plane/envoy/service/accesslog/v3"
+	authv3 "github.com/envoyproxy/go-control-plane/envoy/service/auth/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	rpc "google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"yardcleat.example/yardcleat/intake"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/upstream"
+)
+
+// Fields of an allowed request.
+const (
+	FieldServer  = "x-envoy-original-dst-host" // where an ORIGINAL_DST cluster sends it
+	FieldAttempt = "x-yardcleat-attempt"       // names the attempt; to be logged
+	FieldTimeout = "x-envoy-upstream-rq-timeout-ms"
+)
+
+// Node takes tries and is told of their attempts' ends; a *node.Node is one.
+type Node interface {
+	Take(t *node.Try, reply func(node.Answer)) (gone func())
+	Ended(id policy.RequestID, attempt int, res node.Result)
+}
+
+// Options is what a Server is made of.
+type Options struct {
+	Node       Node
+	Intake     *intake.Intake
+	Log        *slog.Logger
+	Name       string // begins traces and attempt names; differs for every process
+	TurnedAway upstream.TurnedAway
+}
+
+// Server serves Checks and access logs.
+type Server struct {
+	authv3.UnimplementedAuthorizationServer
+	alsv3.UnimplementedAccessLogServiceServer
+	o      Options
+	gs     *grpc.Server
+	traces atomic.Uint64
+
+	mu     sync.Mutex
+	passed map[string]passed // by trace, for logs that do not name the attempt
+	sweep  int
+}
+
+// passed is an attempt that a proxy was let make.
+type passed struct {
+	id      policy.RequestID
+	attempt int
+	until   time.Time
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	s := &Server{o: o, gs: grpc.NewServer(), passed: map[string]passed{}}
+	authv3.RegisterAuthorizationServer(s.gs, s)
+	alsv3.RegisterAccessLogServiceServer(s.gs, s)
+	return s
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.gs.Serve(l)
+	if errors.Is(err, grpc.ErrServerStopped) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Drain lets the calls under way end; when the context ends, or after a moment
+// for the log streams, which have no end of their own, they are cut.
+func (s *Server) Drain(ctx context.Context) {
+	const logs = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, logs)
+	defer cancel()
+	stop := context.AfterFunc(ctx, s.gs.Stop)
+	defer stop()
+	s.gs.GracefulStop()
+}
+
+// Check answers whether a request may go, and where to.
+func (s *Server) Check(ctx context.Context, req *authv3.CheckRequest) (*authv3.CheckResponse, error) {
+	call := callOf(req.GetAttributes().GetRequest().GetHttp())
+	trace := s.o.Name + "-" + strconv.FormatUint(s.traces.Add(1), 36)
+	t, early := s.o.Intake.Admit(call, trace)
+	if early != nil {
+		s.o.Log.Info("answer", "answer", early.Kind.String(), "trace", t.Trace, "class", t.Class,
+			"customer", t.Customer, "reason", string(early.Reason), "detail", early.Detail)
+		return s.denied(t, *early), nil
+	}
+	if by, ok := ctx.Deadline(); ok {
+		t.Patience = min(t.Patience, time.Until(by))
+	}
+	t.Proxied = true
+	answers := make(chan node.Answer, 1)
+	gone := s.o.Node.Take(t, func(a node.Answer) { answers <- a })
+	var a node.Answer
+	select {
+	case a = <-answers:
+	case <-ctx.Done():
+		gone()
+		a = <-answers
+	}
+	if a.Go == nil {
+		return s.denied(t, a), nil
+	}
+	if ctx.Err() != nil {
+		// The answer can't arrive: nothing will be sent.
+		s.o.Node.Ended(a.Go.ID, a.Go.Attempt, node.Result{Code: policy.Moot, Detail: "the proxy left"})
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+	s.note(t.Trace, passed{a.Go.ID, a.Go.Attempt, time.Now().Add(a.Go.Timeout)})
+	return s.allowed(t, a.Go), nil
+}
+
+func callOf(h *authv3.AttributeContext_HttpRequest) node.Call {
+	c := node.Call{Method: h.GetMethod(), Target: h.GetPath(), Host: h.GetHost(), Body: []byte(h.GetBody())}
+	if len(c.Body) == 0 {
+		c.Body = h.GetRawBody()
+	}
+	for name, value := range h.GetHeaders() {
+		if !strings.HasPrefix(name, ":") {
+			c.Header.Add(name, value)
+		}
+	}
+	slices.SortFunc(c.Header, func(a, b http1.Field) int { return strings.Compare(a.Name, b.Name) })
+	return c
+}
+
+func (s *Server) allowed(t *node.Try, g *node.Go) *authv3.CheckResponse {
+	ok := &authv3.OkHttpResponse{HeadersToRemove: append(slices.Clone(g.Remove), s.o.Intake.KeyField())}
+	for _, f := range g.Header {
+		ok.Headers = append(ok.Headers, option(f.Name, f.Value))
+	}
+	ok.Headers = append(ok.Headers, option(FieldServer, g.Server), option(FieldAttempt, s.token(g)),
+		option(FieldTimeout, strconv.FormatInt(max(1, g.Timeout.Milliseconds()), 10)),
+		option("x-request-id", t.Trace))
+	return &authv3.CheckResponse{Status: &rpc.Status{Code: int32(codes.OK)},
+		HttpResponse: &authv3.CheckResponse_OkResponse{OkResponse: ok}}
+}
+
+func (s *Server) denied(t *node.Try, a node.Answer) *authv3.CheckResponse {
+	res := s.o.Intake.Render(t, a)
+	d := &authv3.DeniedHttpResponse{Status: &typev3.HttpStatus{Code: typev3.StatusCode(res.Status)}, Body: string(res.Body)}
+	for _, f := range res.Header {
+		d.Headers = append(d.Headers, option(f.Name, f.Value))
+	}
+	code := codes.PermissionDenied
+	if a.Kind == node.Failed {
+		code = codes.Unavailable
+	}
+	return &authv3.CheckResponse{Status: &rpc.Status{Code: int32(code), Message: string(a.Reason)},
+		HttpResponse: &authv3.CheckResponse_DeniedResponse{DeniedResponse: d}}
+}
+
+func option(name, value string) *corev3.HeaderValueOption {
+	return &corev3.HeaderValueOption{Header: &corev3.HeaderValue{Key: strings.ToLower(name), Value: value},
+		AppendAction: corev3.HeaderValueOption_OVERWRITE_IF_EXISTS_OR_ADD}
+}
+
+// token names an attempt of this process; parse reads it back.
+func (s *Server) token(g *node.Go) string { return fmt.Sprintf("%s/%d/%d", s.o.Name, g.ID, g.Attempt) }
+
+func (s *Server) parse(token string) (p passed, ok bool) {
+	rest, ok := strings.CutPrefix(token, s.o.Name+"/")
+	if !ok {
+		return p, false // of another node, or of this one before a restart
+	}
+	id, attempt, _ := strings.Cut(rest, "/")
+	n, err := strconv.ParseUint(id, 10, 64)
+	k, err2 := strconv.Atoi(attempt)
+	return passed{id: policy.RequestID(n), attempt: k}, err == nil && err2 == nil
+}
+
+// note remembers an attempt by its trace until its time-out.
+func (s *Server) note(trace string, p passed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.passed[trace] = p
+	if s.sweep++; s.sweep > len(s.passed) {
+		s.sweep = 0
+		now := time.Now()
+		for t, p := range s.passed {
+			if now.After(p.until) {
+				delete(s.passed, t)
+			}
+		}
+	}
+}
+
+// StreamAccessLogs ends attempts. Lines for attempts that have ended, and lines
+// of requests that were never let pass, change nothing.
+func (s *Server) StreamAccessLogs(stream grpc.ClientStreamingServer[alsv3.StreamAccessLogsMessage,
+	alsv3.StreamAccessLogsResponse]) error {
+	for {
+		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&alsv3.StreamAccessLogsResponse{})
+		}
+		if err != nil {
+			return err
+		}
+		for _, e := range m.GetHttpLogs().GetLogEntry() {
+			s.ended(e)
+		}
+	}
+}
+
+func (s *Server) ended(e *datav3.HTTPAccessLogEntry) {
+	trace := e.GetRequest().GetRequestId()
+	p, ok := s.parse(e.GetRequest().GetRequestHeaders()[FieldAttempt])
+	s.mu.Lock()
+	if byTrace, have := s.passed[trace]; have && (!ok || byTrace.id == p.id) {
+		p, ok = byTrace, true
+		delete(s.passed, trace)
+	}
+	s.mu.Unlock()
+	if ok {
+		s.o.Node.Ended(p.id, p.attempt, s.result(e))
+	}
+}
--- /dev/null
+++ b/front/http1/server.go
@@ -0,0 +1,273 @@
+// Package http1 is the first front: clients' requests over HTTP/1.1 (RFC 9112).
+package http1
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"yardcleat.example/yardcleat/intake"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/node"
+)
+
+// Taker takes tries; a *node.Node is one.
+type Taker interface {
+	Take(t *node.Try, reply func(node.Answer)) (gone func())
+}
+
+// Options is what a Server is made of.
+type Options struct {
+	Node   Taker
+	Intake *intake.Intake
+	Log    *slog.Logger
+	Name   string // begins the traces of requests that bring none
+	Limits http1.Limits
+
+	HeaderTime  time.Duration // from a request's first byte to its whole header
+	BodyTime    time.Duration // and on to its whole body
+	IdleTime    time.Duration // a connection without a request is closed after it
+	WriteTime   time.Duration // for a client to take an answer
+	Connections int
+}
+
+// Server serves connections.
+type Server struct {
+	o       Options
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	closing bool
+	done    sync.WaitGroup
+	traces  atomic.Uint64
+}
+
+// New returns a Server.
+func New(o Options) *Server { return &Server{o: o, conns: map[*conn]bool{}} }
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() || s.draining() {
+				return err
+			}
+			// Out of descriptors, or the like: it passes.
+			s.o.Log.Warn("accept", "error", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := &conn{s: s, nc: nc, r: http1.NewReader(nc, s.o.Limits), answers: make(chan node.Answer, 1)}
+		s.mu.Lock()
+		full := len(s.conns) >= s.o.Connections || s.closing
+		if !full {
+			s.conns[c] = true
+			s.done.Add(1)
+		}
+		s.mu.Unlock()
+		if full {
+			nc.Close()
+			continue
+		}
+		go c.serve()
+	}
+}
+
+func (s *Server) draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+// Drain closes idle connections, and the others after the answer under way.
+// It returns when all are closed; when the context ends they are cut.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.closing = true
+	for c := range s.conns {
+		if !c.busy {
+			c.nc.SetReadDeadline(time.Now())
+		}
+	}
+	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.nc.Close()
+		}
+	})
+	defer stop()
+	s.done.Wait()
+}
+
+type conn struct {
+	s       *Server
+	nc      net.Conn
+	r       *http1.Reader
+	busy    bool // a request is under way; under the server's lock
+	buf     []byte
+	answers chan node.Answer
+}
+
+// setBusy notes whether a request is under way; false where the connection is
+// to be closed instead.
+func (c *conn) setBusy(busy bool) bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.busy = busy
+	return !c.s.closing
+}
+
+func (c *conn) serve() {
+	defer func() {
+		c.nc.Close()
+		c.s.mu.Lock()
+		delete(c.s.conns, c)
+		c.s.mu.Unlock()
+		c.s.done.Done()
+	}()
+	for {
+		c.nc.SetReadDeadline(time.Now().Add(c.s.o.IdleTime))
+		if !c.setBusy(false) && c.r.Buffered() == 0 {
+			return
+		}
+		if c.r.Buffered() == 0 {
+			if c.r.Await() != nil {
+				return
+			}
+		}
+		c.setBusy(true)
+		if !c.one() {
+			return
+		}
+	}
+}
+
+// one serves one request; false where the connection is to be closed.
+func (c *conn) one() bool {
+	c.nc.SetReadDeadline(time.Now().Add(c.s.o.HeaderTime))
+	req, err := c.r.Request()
+	if err != nil {
+		return c.refuse(req, err)
+	}
+	call := node.Call{Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header.EndToEnd()}
+	if expect := call.Header.Get("Expect"); expect != "" {
+		if expect != "100-continue" {
+			return c.refuse(req, &http1.Error{Status: 417, Text: "expectation other than 100-continue"})
+		}
+		call.Header.Del("Expect")
+		if req.Framing != http1.NoBody && c.r.Buffered() == 0 && !c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+			return false
+		}
+	}
+	if req.Framing != http1.NoBody {
+		c.nc.SetReadDeadline(time.Now().Add(c.s.o.BodyTime))
+		if call.Body, err = c.r.Body(req.Framing, req.Length); err != nil {
+			return c.refuse(req, err)
+		}
+	}
+	return c.answer(req, call)
+}
+
+// answer puts a whole request to the node and writes the answer.
+func (c *conn) answer(req *http1.Request, call node.Call) bool {
+	t, early := c.s.o.Intake.Admit(call, c.s.o.Name+"-"+strconv.FormatUint(c.s.traces.Add(1), 36))
+	var a node.Answer
+	if early != nil {
+		a = *early
+		c.s.o.Log.Info("answer", "answer", a.Kind.String(), "trace", t.Trace, "class", t.Class, "customer", t.Customer,
+			"reason", string(a.Reason), "detail", a.Detail)
+	} else {
+		var ok bool
+		if a, ok = c.wait(t); !ok {
+			return false
+		}
+	}
+	res := c.s.o.Intake.Render(t, a)
+	closing := !req.KeepAlive() || c.s.draining()
+	c.buf = http1.AppendResponse(c.buf[:0], req.Method, res.Status, res.Header, res.Body, closing)
+	return c.write(c.buf) && !closing
+}
+
+// wait puts a try to the node and waits for its answer, or for the client to
+// leave; one that closes its sending side is taken to have left.
+func (c *conn) wait(t *node.Try) (a node.Answer, ok bool) {
+	if left(c.nc) {
+		return a, false // it was gone before the request was read
+	}
+	c.nc.SetReadDeadline(time.Time{})
+	gone := c.s.o.Node.Take(t, func(a node.Answer) { c.answers <- a })
+	watched := make(chan error, 1)
+	go func() { watched <- c.r.Await() }()
+	select {
+	case a = <-c.answers:
+		c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the watch
+		err := <-watched
+		return a, err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+	case err := <-watched:
+		if err == nil { // the next request, pipelined, waits for its turn
+			return <-c.answers, true
+		}
+		gone()
+		<-c.answers // the node has its last word in any case
+		return a, false
+	}
+}
+
+// refuse answers what could not be read, as far as there is someone to answer,
+// and closes the connection.
+func (c *conn) refuse(req *http1.Request, err error) bool {
+	var pe *http1.Error
+	status := 408 // the time for the header or the body is over
+	switch {
+	case errors.As(err, &pe):
+		status = pe.Status
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return false // it ended in the middle, or before the first byte
+	}
+	why := node.BadRequest
+	if status == 413 {
+		why = node.TooLarge
+	}
+	c.s.o.Log.Info("answer", "answer", node.Refused.String(), "reason", string(why), "detail", err.Error(),
+		"client", c.nc.RemoteAddr().String())
+	res := c.s.o.Intake.Render(nil, node.Answer{Kind: node.Refused, Reason: why, Detail: err.Error()})
+	method := ""
+	if req != nil {
+		method = req.Method
+	}
+	c.buf = http1.AppendResponse(c.buf[:0], method, status, res.Header, res.Body, true)
+	if c.write(c.buf) {
+		c.linger()
+	}
+	return false
+}
+
+// linger lets the client read its answer: closing with unread bytes would reset
+// the connection (RFC 9112, 9.6).
+func (c *conn) linger() {
+	const most = 64 << 10
+	if w, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		w.CloseWrite()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	io.CopyN(io.Discard, c.nc, most)
+}
+
+func (c *conn) write(b []byte) bool {
+	c.nc.SetWriteDeadline(time.Now().Add(c.s.o.WriteTime))
+	_, err := c.nc.Write(b)
+	return err == nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,235 @@
+// Package gateway puts a node together from a configuration: module, loop,
+// fronts, upstream, peers, server list and authoriser.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"yardcleat.example/yardcleat/authz"
+	"yardcleat.example/yardcleat/authz/client"
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/fleet"
+	"yardcleat.example/yardcleat/front/extauthz"
+	fronthttp "yardcleat.example/yardcleat/front/http1"
+	"yardcleat.example/yardcleat/intake"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/peer"
+	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/upstream"
+)
+
+// Options is what a Gateway takes beside its configuration.
+type Options struct {
+	Network network.Network
+	Log     *slog.Logger
+	Seed    uint64 // of the module's chance; 0: drawn
+}
+
+// Gateway is a running node with all that is around it.
+type Gateway struct {
+	cfg     *config.Config
+	o       Options
+	node    *node.Node
+	serving sync.WaitGroup
+	closes  []func() // in reverse order
+	fronts  []front
+}
+
+// front is a listener with its server.
+type front struct {
+	l     net.Listener
+	drain func(context.Context)
+}
+
+// Start starts a node. What was opened is closed where it fails.
+func Start(cfg *config.Config, o Options) (g *Gateway, err error) {
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g = &Gateway{cfg: cfg, o: o, closes: []func(){cancel}}
+	defer func() {
+		if err != nil {
+			g.close()
+		}
+	}()
+	opt := node.Options{Settings: cfg.Settings(), Seed: o.Seed, Log: o.Log, Margin: cfg.Limits.AnswerMargin,
+		Most: cfg.Limits.Requests, Base: time.Now(), Tell: func(int, []byte) {}}
+	pool := upstream.New(upstream.Options{Network: o.Network, ConnectTime: cfg.Limits.ConnectTime, Idle: cfg.Limits.IdleUpstream,
+		Limits:     g.limits(cfg.Limits.AnswerBody),
+		TurnedAway: g.turnedAway()})
+	g.closes = append(g.closes, pool.Close)
+	opt.Upstream = pool
+	if a := cfg.Authoriser; a != nil {
+		c, err := client.Dial(o.Network, a.Address)
+		if err != nil {
+			return g, fmt.Errorf("authoriser: %w", err)
+		}
+		g.closes = append(g.closes, func() { c.Close() })
+		opt.Authoriser, opt.Authz = c, authz.New(modes(cfg), a.Timeout, a.MostOut)
+	}
+	deliver := func(from int, data []byte) { g.node.Peer(from, data) }
+	if len(cfg.Peers.Addresses) > 0 {
+		inc, err := peer.Incarnation(cfg.StateDir, opt.Base)
+		if err != nil {
+			o.Log.Warn("incarnation", "error", err)
+		}
+		p := cfg.Peers
+		mail, err := peer.Listen(peer.Options{Network: o.Network, Listen: p.Listen, Addresses: p.Addresses, Me: cfg.Number,
+			Key: p.Key, Incarnation: inc, Freshness: p.Freshness, Rate: p.MailPerSecond, Log: o.Log,
+			Deliver: func(from int, data []byte) { deliver(from, data) }})
+		if err != nil {
+			return g, err
+		}
+		opt.Tell = mail.Tell
+		g.closes = append(g.closes, mail.Close)
+	}
+	if g.node, err = node.New(opt); err != nil {
+		return g, err
+	}
+	g.start(ctx, cancel, g.node.Run)
+	if err := g.servers(ctx); err != nil {
+		return g, err
+	}
+	in := intake.New(cfg)
+	for _, l := range cfg.Listeners {
+		if err := g.listen(l, in); err != nil {
+			return g, fmt.Errorf("listener %q: %w", l.Name, err)
+		}
+	}
+	return g, nil
+}
+
+// start runs f until the gateway closes it in its turn.
+func (g *Gateway) start(ctx context.Context, cancel func(), f func(context.Context)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f(ctx)
+	}()
+	g.closes = append(g.closes, func() {
+		cancel()
+		<-done
+	})
+}
+
+// servers starts what keeps the node's server list.
+func (g *Gateway) servers(ctx context.Context) error {
+	s := g.cfg.Servers
+	if s.EDSAddress == "" {
+		list, err := fleet.Static(s.Static)
+		if err != nil {
+			return err
+		}
+		g.node.Members(policy.Whole, list)
+		return nil
+	}
+	o := fleet.Options{Network: g.o.Network, Address: s.EDSAddress, Cluster: s.EDSCluster,
+		NodeID: fmt.Sprintf("node-%d", g.cfg.Number), Log: g.o.Log, Deliver: g.node.Members}
+	if g.cfg.StateDir != "" {
+		o.File = filepath.Join(g.cfg.StateDir, "servers")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	g.start(ctx, cancel, func(ctx context.Context) {
+		if err := fleet.Watch(ctx, o); err != nil {
+			g.o.Log.Error("discovery", "error", err)
+		}
+	})
+	return nil
+}
+
+func (g *Gateway) limits(body int64) http1.Limits {
+	l := g.cfg.Limits
+	return http1.Limits{Line: l.Line, Fields: l.Fields, Header: l.Header, Body: body}
+}
+
+func modes(cfg *config.Config) map[string]authz.Mode {
+	names := map[config.Authorisation]authz.Mode{config.Skip: authz.Skip, config.RefuseClass: authz.Refuse,
+		config.AllowClass: authz.Allow}
+	m := map[string]authz.Mode{}
+	for _, c := range cfg.Classes {
+		m[c.Name] = names[c.Authorisation]
+	}
+	return m
+}
+
+func (g *Gateway) listen(l config.Listener, in *intake.Intake) error {
+	nl, err := g.o.Network.Listen(l.Address)
+	if err != nil {
+		return err
+	}
+	lim := g.cfg.Limits
+	log := g.o.Log.With("listener", l.Name)
+	log.Info("listening", "kind", string(l.Kind), "address", nl.Addr().String())
+	if l.Kind == config.ExtAuthz {
+		s := extauthz.New(extauthz.Options{Node: g.node, Intake: in, Log: log, Name: g.name(l), TurnedAway: g.turnedAway()})
+		g.serve(log, nl, s.Serve, s.Drain)
+		return nil
+	}
+	s := fronthttp.New(fronthttp.Options{Node: g.node, Intake: in, Log: log, Limits: g.limits(lim.Body),
+		Name:       g.name(l),
+		HeaderTime: lim.HeaderTime, BodyTime: lim.BodyTime, IdleTime: lim.IdleTime, WriteTime: lim.WriteTime,
+		Connections: lim.Connections})
+	g.serve(log, nl, s.Serve, s.Drain)
+	return nil
+}
+
+func (g *Gateway) serve(log *slog.Logger, nl net.Listener, serve func(net.Listener) error, drain func(context.Context)) {
+	g.serving.Go(func() {
+		if err := serve(nl); err != nil {
+			log.Error("listener ended", "error", err)
+		}
+	})
+	g.fronts = append(g.fronts, front{nl, drain})
+}
+
+// name begins the traces that a listener gives; it differs for every process.
+func (g *Gateway) name(l config.Listener) string {
+	return fmt.Sprintf("%s-%d-%x", l.Name, g.cfg.Number, g.o.Seed&0xffffff)
+}
+
+func (g *Gateway) turnedAway() upstream.TurnedAway {
+	return upstream.TurnedAway{Status: g.cfg.Servers.TurnedAwayStatus, Header: g.cfg.Servers.TurnedAwayHeader}
+}
+
+// Drain stops in order: no new connections, what is held ends, the rest is
+// closed. When the context ends first, what is left is failed.
+func (g *Gateway) Drain(ctx context.Context) error {
+	for _, f := range g.fronts {
+		f.l.Close()
+	}
+	var drained sync.WaitGroup
+	for _, f := range g.fronts {
+		drained.Go(func() { f.drain(ctx) })
+	}
+	err := g.node.Drain(ctx)
+	drained.Wait()
+	g.close()
+	return err
+}
+
+// Kill stops at once: what is held is failed.
+func (g *Gateway) Kill() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Drain(ctx)
+}
+
+func (g *Gateway) close() {
+	for _, f := range g.fronts {
+		f.l.Close()
+	}
+	g.serving.Wait()
+	for i := len(g.closes) - 1; i >= 0; i-- {
+		g.closes[i]()
+	}
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,292 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardcleat.example/yardcleat/audit"
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/standin/authoriser"
+	"yardcleat.example/yardcleat/standin/catalogue"
+)
+
+// world is a gateway in a bubble of virtual time with two servers and an
+// authoriser around it.
+type world struct {
+	t       *testing.T
+	mem     *network.Memory
+	rack    *catalogue.Rack
+	servers []*catalogue.Server
+	auth    *authoriser.Server
+	node    *Gateway
+	client  *http.Client
+	host    *network.Host
+
+	mu   sync.Mutex
+	seen []audit.Seen
+}
+
+const worldConfig = `
+listener "http" "desks" { address = "10.0.0.1:80" }
+listener "ext_authz" "proxies" { address = "10.0.0.1:81" }
+class "lookup" {
+  effect = "safe"
+  aim = "800ms"
+  deadline = "3s"
+  route {
+    method = "GET"
+    path = "/records/{id}"
+  }
+}
+class "loan-change" {
+  effect = "keyed"
+  group = "cell"
+  window = "2s"
+  aim = "600ms"
+  deadline = "2s"
+  authorisation = "refuse"
+  route {
+    method = "POST"
+    path = "/loans/{id}"
+  }
+}
+class "note" {
+  effect = "unsafe"
+  aim = "600ms"
+  deadline = "2s"
+  route {
+    method = "POST"
+    path = "/notes/{id}"
+  }
+}
+plan "basic" {
+  rate = 10
+  burst = 20
+}
+customer "school" {
+  plan = "basic"
+  keys = ["k-school"]
+}
+customer "denied" {
+  plan = "basic"
+  keys = ["k-denied"]
+}
+authoriser { address = "10.0.2.1:80" }
+servers {
+  server "a" {
+    address = "10.0.1.1:80"
+    cell = 1
+  }
+  server "b" {
+    address = "10.0.1.2:80"
+    cell = 2
+  }
+  turned_away {
+    status = 503
+    header = "x-not-run"
+  }
+}
+`
+
+// inWorld runs a test in a bubble. Whatever it starts must have ended when it
+// returns: synctest fails it otherwise.
+func inWorld(t *testing.T, extra string, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, mem: network.NewMemory(time.Millisecond, 1), rack: &catalogue.Rack{Name: "r", Window: 2 * time.Second}}
+		for i := 1; i <= 2; i++ {
+			s := catalogue.New(catalogue.Options{Name: fmt.Sprint("s", i), Rack: w.rack, Cores: 2, Queue: 8,
+				Classes: []catalogue.Class{
+					{Name: "lookup", Method: "GET", Prefix: "/records/", Work: 50 * time.Millisecond},
+					{Name: "loan-change", Method: "POST", Prefix: "/loans/", Work: 30 * time.Millisecond, Keyed: true},
+					{Name: "note", Method: "POST", Prefix: "/notes/", Work: 30 * time.Millisecond}},
+				Record: func(s audit.Seen) {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					w.seen = append(w.seen, s)
+				}})
+			go s.Serve(w.listen(fmt.Sprintf("10.0.1.%d:80", i)))
+			w.servers = append(w.servers, s)
+		}
+		w.auth = authoriser.New("denied")
+		go w.auth.Serve(w.listen("10.0.2.1:80"))
+		cfg, err := config.Parse([]byte(worldConfig+extra), "test.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.node, err = Start(cfg, Options{Network: w.mem.Host("node"), Log: slog.New(slog.NewTextHandler(t.Output(), nil)), Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.host = w.mem.Host("client")
+		w.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return w.host.Dial(ctx, addr)
+		}}}
+		f(w)
+		w.client.CloseIdleConnections()
+		w.node.Kill()
+		for _, s := range w.servers {
+			s.Kill()
+		}
+		w.auth.Kill()
+		time.Sleep(time.Minute) // timers of what was closed run out
+	})
+}
+
+func (w *world) listen(addr string) net.Listener {
+	l, err := w.mem.Host(addr).Listen(addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return l
+}
+
+type got struct {
+	status int
+	header http.Header
+	body   string
+	took   time.Duration
+}
+
+func (w *world) do(method, path, key string, fields ...string) got {
+	w.t.Helper()
+	req, err := http.NewRequest(method, "http://10.0.0.1:80"+path, nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Header.Set("X-Api-Key", key)
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	start := time.Now()
+	res, err := w.client.Do(req)
+	if err != nil {
+		return got{status: -1, body: err.Error(), took: time.Since(start)}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return got{res.StatusCode, res.Header, string(b), time.Since(start)}
+}
+
+func (w *world) arrived() []audit.Seen {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.seen
+}
+
+func (w *world) faults(fault, arg string) {
+	for _, s := range w.servers {
+		if err := s.Do(fault, arg); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		if g := w.do("GET", "/records/1", "k-school"); g.status != 200 || !strings.Contains(g.body, `"class":"lookup"`) {
+			t.Errorf("lookup: %+v", g)
+		}
+		if g := w.do("POST", "/loans/1", "k-school", "Idempotency-Key", "k1"); g.status != 200 {
+			t.Errorf("loan-change: %+v", g)
+		}
+		if n := w.auth.Checks(); n != 1 {
+			t.Errorf("%d Checks, want 1: lookup is not put to the authoriser", n)
+		}
+		if n := len(w.arrived()); n != 2 {
+			t.Errorf("%d attempts arrived, want 2", n)
+		}
+	})
+}
+
+func TestRefusedBeforeTheModule(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		for _, c := range []struct {
+			method, path, key string
+			fields            []string
+			status            int
+			reason            string
+		}{
+			{"GET", "/records/1", "nobody", nil, 401, "unknown-key"},
+			{"GET", "/elsewhere", "k-school", nil, 404, "no-route"},
+			{"DELETE", "/records/1", "k-school", nil, 404, "no-route"},
+			{"GET", "/records/../loans/1", "k-school", nil, 400, "bad-request"},
+			{"GET", "/records/%2e%2E", "k-school", nil, 400, "bad-request"},
+			{"GET", "/records/a%2fb", "k-school", nil, 400, "bad-request"},
+			{"POST", "/loans/1", "k-school", nil, 400, "bad-request"}, // no key for a keyed class
+			{"GET", "/records/1", "k-school", []string{"X-Envoy-Expected-Rq-Timeout-Ms", "soon"}, 400, "bad-request"},
+			{"POST", "/loans/1", "k-denied", []string{"Idempotency-Key", "k"}, 403, "authorisation-denied"},
+		} {
+			g := w.do(c.method, c.path, c.key, c.fields...)
+			if g.status != c.status || g.header.Get("X-Yardcleat-Reason") != c.reason {
+				t.Errorf("%s %s: status %d, reason %q; want %d, %q", c.method, c.path, g.status,
+					g.header.Get("X-Yardcleat-Reason"), c.status, c.reason)
+			}
+		}
+		if n := len(w.arrived()); n != 0 {
+			t.Errorf("%d attempts arrived", n)
+		}
+	})
+}
+
+// A customer beyond its quota is told so, with the time to come back.
+func TestQuota(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		served, refused := 0, 0
+		for range 60 {
+			switch g := w.do("GET", "/records/1", "k-school", "X-Envoy-Expected-Rq-Timeout-Ms", "500"); {
+			case g.status == 200:
+				served++
+			case g.status == 429 && g.header.Get("Retry-After") != "" && g.header.Get("X-Yardcleat-Reason") == "quota" &&
+				strings.Contains(g.header.Get("RateLimit-Policy"), `"basic";q=20;w=2`):
+				refused++
+			default:
+				t.Fatalf("%+v", g)
+			}
+		}
+		if served < 20 || refused < 10 {
+			t.Errorf("%d served and %d refused of 60 at once", served, refused)
+		}
+	})
+}
+
+// An authoriser that is late, silent or dead: the class that needs it is
+// refused in good time, others are served.
+func TestAuthoriserFails(t *testing.T) {
+	for _, c := range []struct{ fault, arg, reason string }{
+		{"slow", "250ms", "authorisation-late"}, {"silent", "", "authorisation-late"}, {"dead", "", "authorisation-unreachable"},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			inWorld(t, "", func(w *world) {
+				if c.fault == "dead" {
+					w.auth.Kill()
+				} else {
+					w.auth.Do(c.fault, c.arg)
+				}
+				g := w.do("POST", "/loans/1", "k-school", "Idempotency-Key", "k1")
+				if g.status != 503 || g.header.Get("X-Yardcleat-Reason") != c.reason || g.took > 250*time.Millisecond {
+					t.Errorf("%+v", g)
+				}
+				if g := w.do("GET", "/records/1", "k-school"); g.status != 200 {
+					t.Errorf("lookup: %+v", g)
+				}
+				if n := len(w.arrived()); n != 1 {
+					t.Errorf("%d attempts arrived", n)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,275 @@
+// Package intake turns a client's call into a Try, and an Answer into what the
+// client is told. All fronts use it, so the same request gets the same decision,
+// status, fields and reason by any protocol. It has no I/O.
+package intake
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// Intake knows the routes, keys and plans of a configuration.
+type Intake struct {
+	cfg    *config.Config
+	routes *segment // by method first
+	keys   map[string]*config.Customer
+	plans  map[string]policy.Plan
+}
+
+// segment is a place in the tree of routes.
+type segment struct {
+	plain map[string]*segment
+	any   *segment      // {name}
+	rest  *config.Class // {name...}
+	class *config.Class // of a path that ends here
+}
+
+// New returns the Intake of a checked configuration.
+func New(cfg *config.Config) *Intake {
+	in := &Intake{cfg: cfg, routes: &segment{}, keys: map[string]*config.Customer{}, plans: map[string]policy.Plan{}}
+	for i := range cfg.Classes {
+		for _, r := range cfg.Classes[i].Routes {
+			in.routes.child(r.Method).add(strings.Split(r.Path, "/")[1:], &cfg.Classes[i])
+		}
+	}
+	for i := range cfg.Customers {
+		for _, k := range cfg.Customers[i].Keys {
+			in.keys[k] = &cfg.Customers[i]
+		}
+	}
+	for _, p := range cfg.Plans {
+		in.plans[p.Name] = p
+	}
+	return in
+}
+
+func (s *segment) child(name string) *segment {
+	if s.plain == nil {
+		s.plain = map[string]*segment{}
+	}
+	if s.plain[name] == nil {
+		s.plain[name] = &segment{}
+	}
+	return s.plain[name]
+}
+
+func (s *segment) add(path []string, class *config.Class) {
+	switch {
+	case len(path) == 0:
+		s.class = class
+	case strings.HasSuffix(path[0], "...}"):
+		s.rest = class
+	case strings.HasPrefix(path[0], "{"):
+		if s.any == nil {
+			s.any = &segment{}
+		}
+		s.any.add(path[1:], class)
+	default:
+		s.child(path[0]).add(path[1:], class)
+	}
+}
+
+// find returns the class of a path: a plain segment goes before {name}, and
+// that before {name...}.
+func (s *segment) find(path string) *config.Class {
+	first, rest, more := strings.Cut(path, "/")
+	for _, next := range []*segment{s.plain[first], s.any} {
+		if next == nil || next == s.any && first == "" {
+			continue
+		}
+		if !more {
+			if next.class != nil {
+				return next.class
+			}
+		} else if c := next.find(rest); c != nil {
+			return c
+		}
+	}
+	return s.rest
+}
+
+const (
+	fieldAttempt = "X-Envoy-Attempt-Count"
+	fieldKey     = "Idempotency-Key"
+	fieldTrace   = "X-Request-Id"
+	fieldReason  = "X-Yardcleat-Reason"
+)
+
+// Field names that the node speaks for itself; they are not taken from clients
+// to servers.
+func (in *Intake) forwarded(h http1.Header) http1.Header {
+	h.Del(in.cfg.Clients.KeyHeader)
+	h.Del(fieldAttempt)
+	return h
+}
+
+// KeyField is the field that names the customer.
+func (in *Intake) KeyField() string { return in.cfg.Clients.KeyHeader }
+
+func refusal(why node.Reason, detail string, args ...any) *node.Answer {
+	return &node.Answer{Kind: node.Refused, Reason: why, Detail: fmt.Sprintf(detail, args...)}
+}
+
+// Admit makes a Try of a call whose header holds end-to-end fields, or the
+// answer that it gets at once. trace names it where the client does not.
+func (in *Intake) Admit(c node.Call, trace string) (*node.Try, *node.Answer) {
+	t := &node.Try{Trace: trace}
+	if id := c.Header.Get(fieldTrace); id != "" {
+		t.Trace = clip(id, 128)
+	} else {
+		c.Header.Add(fieldTrace, trace)
+	}
+	path, _, _ := strings.Cut(c.Target, "?")
+	if why := ambiguous(path); why != "" {
+		return t, refusal(node.BadRequest, "%s", why)
+	}
+	customer := in.keys[c.Header.Get(in.cfg.Clients.KeyHeader)]
+	if customer == nil {
+		return t, refusal(node.UnknownKey, "the field %s names no customer", in.cfg.Clients.KeyHeader)
+	}
+	t.Customer, t.Plan, t.First, t.Spread = customer.Name, customer.Plan, customer.First, customer.Nodes
+	var class *config.Class
+	if m := in.routes.plain[c.Method]; m != nil {
+		class = m.find(strings.TrimPrefix(path, "/"))
+	}
+	if class == nil {
+		return t, refusal(node.NoRoute, "no class of requests has this method and path")
+	}
+	t.Class, t.Units = class.Name, class.Units
+	if class.Effect == policy.Keyed && c.Header.Get(fieldKey) == "" {
+		return t, refusal(node.BadRequest, "requests of class %s need the field %s", class.Name, fieldKey)
+	}
+	t.Patience = class.Deadline
+	if v := c.Header.Get(in.cfg.Clients.PatienceHeader); v != "" {
+		ms, err := strconv.ParseUint(v, 10, 31)
+		if err != nil {
+			return t, refusal(node.BadRequest, "the field %s is not a number of milliseconds", in.cfg.Clients.PatienceHeader)
+		}
+		t.Patience = min(t.Patience, time.Duration(ms)*time.Millisecond)
+	}
+	if v := c.Header.Get(fieldAttempt); v != "" {
+		n, err := strconv.ParseUint(v, 10, 31)
+		if err != nil {
+			return t, refusal(node.BadRequest, "the field %s is not a number", fieldAttempt)
+		}
+		t.Repeat = n > 1
+	}
+	c.Header = in.forwarded(c.Header)
+	t.Call = c
+	return t, nil
+}
+
+// ambiguous says why a path could be read differently by a server, or "".
+func ambiguous(path string) string {
+	if path == "" || path[0] != '/' {
+		return "the path does not start with /"
+	}
+	for s := range strings.SplitSeq(path[1:], "/") {
+		if strings.Contains(s, "%") {
+			low := strings.ToLower(s)
+			if strings.Contains(low, "%2f") || strings.Contains(low, "%5c") || strings.Contains(low, "%00") {
+				return "the path holds an encoded slash, backslash or NUL"
+			}
+			s = strings.ReplaceAll(low, "%2e", ".")
+		}
+		if s == "." || s == ".." {
+			return "the path holds a dot segment"
+		}
+	}
+	return ""
+}
+
+func clip(s string, n int) string {
+	if len(s) > n {
+		return s[:n]
+	}
+	return s
+}
+
+// statuses of reasons, for refusals; a failure is 502, or 504 where time ran out.
+var statuses = map[node.Reason]int{
+	node.BadRequest: 400, node.UnknownKey: 401, node.AuthorisationDenied: 403, node.NoRoute: 404,
+	node.TooLarge: 413, node.Quota: 429, node.OpenCap: 429, node.Ceiling: 429,
+}
+
+// titles are what a person reads.
+var titles = map[node.Reason]string{
+	node.BadRequest: "The request is malformed.", node.TooLarge: "The request is too large.",
+	node.UnknownKey: "The key is not known.", node.NoRoute: "Nothing is served here.",
+	node.Quota: "The customer's quota is used up.", node.OpenCap: "The customer has too many requests open.",
+	node.Ceiling: "The customer's hard ceiling is reached.", node.Shed: "Requests of less worth are not taken at the moment.",
+	node.NoServer: "No server could take the request in time.", node.NoTime: "Too little time was left.",
+	node.QuotaUnknown: "The customer's quota could not be learned in time.",
+	node.ServerGone:   "The server went away.", node.ServerError: "The server failed.",
+	node.ServerFull: "The servers are full.", node.ServerLate: "The server gave no answer in time.",
+	node.AuthorisationDenied:      "The request is not authorised.",
+	node.AuthorisationLate:        "The authorisation service gave no answer in time.",
+	node.AuthorisationUnreachable: "The authorisation service can't be reached.",
+	node.Overload:                 "The gateway is overloaded.", node.Draining: "The gateway is going out of service.",
+	node.Internal: "The gateway failed.",
+}
+
+// problem is a body by RFC 9457.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	Reason string `json:"reason"`
+	Retry  bool   `json:"retry_is_harmless"`
+}
+
+// Render makes of an answer the response that a client gets. t may be nil where
+// the call could not be read.
+func (in *Intake) Render(t *node.Try, a node.Answer) *node.Response {
+	if a.Response != nil {
+		if a.Reason != node.None {
+			a.Response.Header.Set(fieldReason, string(a.Reason))
+		}
+		return a.Response
+	}
+	p := problem{Type: "urn:yardcleat:reason:" + string(a.Reason), Title: titles[a.Reason], Detail: a.Detail,
+		Reason: string(a.Reason), Retry: a.Kind == node.Refused, Status: 502}
+	res := &node.Response{}
+	switch {
+	case a.Kind == node.Refused:
+		if p.Status = statuses[a.Reason]; p.Status == 0 {
+			p.Status = 503
+		}
+		if a.RetryAfter > 0 && (p.Status == 429 || p.Status == 503) {
+			res.Header.Add("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+		}
+		if plan := in.planOf(t); a.Reason == node.Quota && plan.Rate > 0 {
+			window := int(math.Ceil(plan.Burst / plan.Rate))
+			res.Header.Add("RateLimit-Policy", fmt.Sprintf("%q;q=%d;w=%d", plan.Name, int(plan.Burst), window))
+			res.Header.Add("RateLimit", fmt.Sprintf("%q;r=0;t=%d", plan.Name, int(math.Ceil(a.RetryAfter.Seconds()))))
+		}
+	case a.Reason == node.ServerLate || a.Reason == node.NoTime:
+		p.Status = 504
+	}
+	res.Status = p.Status
+	res.Header.Add("Content-Type", "application/problem+json")
+	res.Header.Add(fieldReason, string(a.Reason))
+	body, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // texts and numbers alone
+	}
+	res.Body = append(body, '\n')
+	return res
+}
+
+func (in *Intake) planOf(t *node.Try) policy.Plan {
+	if t == nil {
+		return policy.Plan{}
+	}
+	return in.plans[t.Plan]
+}
--- /dev/null
+++ b/internal/http1/read.go
@@ -0,0 +1,376 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+// Limits bounds what one message may hold.
+type Limits struct {
+	Line   int   // bytes of the first line, and of any header line
+	Fields int   // header fields
+	Header int   // bytes of all header lines
+	Body   int64 // bytes of the body
+}
+
+// Reader reads messages from one connection.
+type Reader struct {
+	br  *bufio.Reader
+	lim Limits
+}
+
+// NewReader returns a Reader. The buffer holds the longest line allowed.
+func NewReader(r io.Reader, lim Limits) *Reader {
+	return &Reader{br: bufio.NewReaderSize(r, max(4096, lim.Line+2)), lim: lim}
+}
+
+// Buffered is the number of bytes read from the connection and not used yet.
+func (r *Reader) Buffered() int { return r.br.Buffered() }
+
+// Await blocks until there are more bytes than are buffered, or the connection
+// ends. It is nil where the buffer is full.
+func (r *Reader) Await() error {
+	_, err := r.br.Peek(r.br.Buffered() + 1)
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return nil
+	}
+	return err
+}
+
+const emptyLines = 2 // tolerated before a request line; RFC 9112, 2.2
+
+// line reads one line without its CRLF. The slice is good until the next read.
+func (r *Reader) line(tooLong int) ([]byte, error) {
+	b, err := r.br.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || len(b) > r.lim.Line+2 {
+		return nil, bad(tooLong, "line longer than %d bytes", r.lim.Line)
+	}
+	if err != nil {
+		if err == io.EOF && len(b) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	if len(b) < 2 || b[len(b)-2] != '\r' {
+		return nil, bad(400, "line ends in a bare LF")
+	}
+	b = b[:len(b)-2]
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return nil, bad(400, "control character %#02x in a line", c)
+		}
+	}
+	return b, nil
+}
+
+// Request reads the head of a request. The error is io.EOF where the
+// connection ended before its first byte.
+func (r *Reader) Request() (*Request, error) {
+	var b []byte
+	for empty := 0; len(b) == 0; empty++ {
+		var err error
+		if b, err = r.line(414); err != nil {
+			return nil, err
+		}
+		if empty >= emptyLines {
+			return nil, bad(400, "empty lines before a request")
+		}
+	}
+	first := string(b)
+	method, rest, ok := strings.Cut(first, " ")
+	target, version, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || !token(method) || target == "" || strings.ContainsAny(version, " \t") {
+		return nil, bad(400, "malformed request line")
+	}
+	req := &Request{Method: method, Target: target}
+	switch version {
+	case "HTTP/1.1":
+		req.Minor = 1
+	case "HTTP/1.0":
+	default:
+		if strings.HasPrefix(version, "HTTP/") {
+			return nil, bad(505, "version other than HTTP/1.1 and HTTP/1.0")
+		}
+		return nil, bad(400, "malformed request line")
+	}
+	var err error
+	if req.Header, err = r.header(); err != nil {
+		return nil, err
+	}
+	if err := req.host(); err != nil {
+		return nil, err
+	}
+	req.Framing, req.Length, err = framing(req.Header, req.Minor)
+	if err == nil && req.Length > r.lim.Body {
+		err = bad(413, "body longer than %d bytes", r.lim.Body)
+	}
+	return req, err
+}
+
+// host checks Host and the target, and brings the target to origin-form.
+func (req *Request) host() error {
+	hosts := 0
+	for _, f := range req.Header {
+		if f.Name == "Host" {
+			hosts++
+			req.Host = f.Value
+		}
+	}
+	if hosts > 1 || hosts == 0 && req.Minor >= 1 {
+		return bad(400, "%d Host fields", hosts)
+	}
+	if strings.ContainsAny(req.Host, " \t,/@") {
+		return bad(400, "malformed Host")
+	}
+	for i := range len(req.Target) {
+		if c := req.Target[i]; c <= ' ' || c >= 0x7f || c == '#' || c == '\\' {
+			return bad(400, "character %#02x in the target", c)
+		}
+	}
+	switch {
+	case req.Target[0] == '/':
+	case req.Target == "*":
+		if req.Method != "OPTIONS" {
+			return bad(400, "target * with a method other than OPTIONS")
+		}
+	case req.Method == "CONNECT":
+		return bad(405, "CONNECT is not served")
+	default:
+		rest, ok := strings.CutPrefix(req.Target, "http://")
+		if !ok {
+			return bad(400, "malformed target")
+		}
+		host, path, _ := strings.Cut(rest, "/")
+		if host == "" || strings.ContainsAny(host, "?@") {
+			return bad(400, "malformed target")
+		}
+		req.Host, req.Target = host, "/"+path // RFC 9112, 3.2.2: it wins over Host
+	}
+	return nil
+}
+
+// Response reads the head of the final response to a request of a method;
+// interim ones (1xx) are passed over.
+func (r *Reader) Response(method string) (*Response, error) {
+	const mostInterim = 8
+	for range mostInterim {
+		b, err := r.line(400)
+		if err != nil {
+			return nil, err
+		}
+		first := string(b)
+		version, rest, ok := strings.Cut(first, " ")
+		code, reason, _ := strings.Cut(rest, " ")
+		status, err := strconv.Atoi(code)
+		if !ok || err != nil || len(code) != 3 || status < 100 || status > 599 {
+			return nil, bad(400, "malformed status line")
+		}
+		res := &Response{Status: status, Reason: reason}
+		switch version {
+		case "HTTP/1.1":
+			res.Minor = 1
+		case "HTTP/1.0":
+		default:
+			return nil, bad(400, "version other than HTTP/1.1 and HTTP/1.0")
+		}
+		if res.Header, err = r.header(); err != nil {
+			return nil, err
+		}
+		if status == 101 {
+			return nil, bad(400, "protocol switched unasked")
+		}
+		if status < 200 {
+			continue
+		}
+		if method == "HEAD" || status == 204 || status == 304 {
+			return res, nil
+		}
+		if res.Framing, res.Length, err = framing(res.Header, res.Minor); err != nil {
+			return nil, err
+		}
+		if res.Framing == NoBody && !res.Header.Has("Content-Length") {
+			res.Framing = UntilClose
+		}
+		if res.Length > r.lim.Body {
+			return nil, bad(413, "body longer than %d bytes", r.lim.Body)
+		}
+		return res, nil
+	}
+	return nil, bad(400, "more than %d interim responses", mostInterim)
+}
+
+func (r *Reader) header() (Header, error) {
+	h := make(Header, 0, 16)
+	for size := 0; ; {
+		b, err := r.line(431)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(b) == 0 {
+			return h, nil
+		}
+		if size += len(b) + 2; size > r.lim.Header || len(h) >= r.lim.Fields {
+			return nil, bad(431, "header larger than %d bytes or %d fields", r.lim.Header, r.lim.Fields)
+		}
+		if b[0] == ' ' || b[0] == '\t' {
+			return nil, bad(400, "folded header line")
+		}
+		line := string(b)
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !token(name) {
+			return nil, bad(400, "malformed header field name")
+		}
+		h = append(h, Field{textproto.CanonicalMIMEHeaderKey(name), textproto.TrimString(value)})
+	}
+}
+
+// framing applies RFC 9112, 6.3, and refuses what is ambiguous.
+func framing(h Header, minor int) (Framing, int64, error) {
+	coded, lengths, length := false, 0, ""
+	for _, f := range h {
+		switch f.Name {
+		case "Transfer-Encoding":
+			if coded || !strings.EqualFold(f.Value, "chunked") {
+				return 0, 0, bad(400, "transfer coding other than chunked, once")
+			}
+			coded = true
+		case "Content-Length":
+			if lengths++; lengths > 1 && f.Value != length {
+				return 0, 0, bad(400, "lengths that differ")
+			}
+			length = f.Value
+		}
+	}
+	switch {
+	case coded && lengths > 0:
+		return 0, 0, bad(400, "both a length and a transfer coding")
+	case coded && minor == 0:
+		return 0, 0, bad(400, "transfer coding in HTTP/1.0")
+	case coded:
+		return Chunked, 0, nil
+	case lengths == 0:
+		return NoBody, 0, nil
+	}
+	n, ok := digits(length, 10)
+	if !ok {
+		return 0, 0, bad(400, "malformed length")
+	}
+	if n == 0 {
+		return NoBody, 0, nil
+	}
+	return Length, n, nil
+}
+
+// digits reads a number of digits alone; no sign, no space, no overflow.
+func digits(s string, base int) (int64, bool) {
+	if s == "" || len(s) > 18 || base == 16 && len(s) > 15 {
+		return 0, false
+	}
+	for _, c := range []byte(s) {
+		hex := base == 16 && (c|0x20 >= 'a' && c|0x20 <= 'f')
+		if !(c >= '0' && c <= '9') && !hex {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseInt(s, base, 64)
+	return n, err == nil
+}
+
+// Body reads the whole body of a message.
+func (r *Reader) Body(f Framing, length int64) ([]byte, error) {
+	switch f {
+	case Length:
+		return r.exactly(nil, length)
+	case Chunked:
+		return r.chunked()
+	case UntilClose:
+		b, err := io.ReadAll(io.LimitReader(r.br, r.lim.Body+1))
+		if err == nil && int64(len(b)) > r.lim.Body {
+			err = bad(413, "body longer than %d bytes", r.lim.Body)
+		}
+		return b, err
+	}
+	return nil, nil
+}
+
+// exactly appends n bytes to b. Memory grows with what comes in, not with what
+// was announced.
+func (r *Reader) exactly(b []byte, n int64) ([]byte, error) {
+	const step = 64 << 10
+	for n > 0 {
+		k := int(min(n, step))
+		at := len(b)
+		b = append(b, make([]byte, k)...)
+		m, err := io.ReadFull(r.br, b[at:])
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return b[:at+m], err
+		}
+		n -= int64(k)
+	}
+	return b, nil
+}
+
+func (r *Reader) chunked() ([]byte, error) {
+	var body []byte
+	for {
+		b, err := r.line(400)
+		if err != nil {
+			return body, cut(err)
+		}
+		size, _, _ := strings.Cut(string(b), ";")
+		n, ok := digits(strings.TrimRight(size, " \t"), 16)
+		if !ok || size == "" {
+			return body, bad(400, "malformed chunk size")
+		}
+		if int64(len(body))+n > r.lim.Body {
+			return body, bad(413, "body longer than %d bytes", r.lim.Body)
+		}
+		if n == 0 {
+			_, err := r.header() // trailers are bounded and dropped
+			return body, err
+		}
+		if body, err = r.exactly(body, n); err != nil {
+			return body, err
+		}
+		var end [2]byte
+		if _, err := io.ReadFull(r.br, end[:]); err != nil {
+			return body, cut(err)
+		}
+		if end != [2]byte{'\r', '\n'} {
+			return body, bad(400, "chunk longer than its size")
+		}
+	}
+}
+
+func cut(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+var tokenChars = func() (t [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		t[c] = true
+	}
+	return t
+}()
+
+func token(s string) bool {
+	for i := range len(s) {
+		if !tokenChars[s[i]] {
+			return false
+		}
+	}
+	return s != ""
+}
--- /dev/null
+++ b/internal/http1/write.go
@@ -0,0 +1,65 @@
+package http1
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// AppendRequest appends a request with a body of known length. The fields are
+// those to forward; Host and framing are added.
+func AppendRequest(b []byte, method, target, host string, h Header, body []byte) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	b = append(b, "\r\n"...)
+	for _, f := range h {
+		if f.Name != "Host" {
+			b = appendField(b, f)
+		}
+	}
+	if len(body) > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
+		b = appendLength(b, len(body))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
+
+// AppendResponse appends a response with a body of known length. To a HEAD
+// request, and with statuses that have no body, the body stays out.
+func AppendResponse(b []byte, method string, status int, h Header, body []byte, closing bool) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(status)...)
+	b = append(b, "\r\n"...)
+	for _, f := range h {
+		b = appendField(b, f)
+	}
+	none := status == 204 || status == 304
+	if !none && method != "HEAD" {
+		b = appendLength(b, len(body))
+	}
+	if closing {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	if none || method == "HEAD" {
+		return b
+	}
+	return append(b, body...)
+}
+
+func appendField(b []byte, f Field) []byte {
+	b = append(b, f.Name...)
+	b = append(b, ": "...)
+	b = append(b, f.Value...)
+	return append(b, "\r\n"...)
+}
+
+func appendLength(b []byte, n int) []byte {
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,613 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"yardcleat.example/yardcleat/authz"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/timers"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// Options is what a node is made of.
+type Options struct {
+	Settings   policy.Settings
+	Seed       uint64
+	Log        *slog.Logger
+	Upstream   Upstream
+	Authoriser Authoriser // nil where no class is put to one
+	Authz      *authz.Decider
+	Tell       func(to int, data []byte) // to a peer; must not block
+	Margin     time.Duration             // answers leave so long before the client gives up
+	Most       int                       // requests not answered yet
+	Base       time.Time                 // the node's time 0; zero: now
+}
+
+// Node is a running gateway. Its methods may be called from any goroutine.
+type Node struct {
+	o    Options
+	base time.Time
+
+	mu      sync.Mutex
+	queue   []func()
+	wake    chan struct{}
+	closing bool // drains: takes no more tries
+	open    int  // tries not answered yet
+	idle    chan struct{}
+
+	// Below is the loop's alone.
+	gw      *policy.Gateway
+	seed    uint64
+	now     time.Duration
+	wheel   timers.Wheel
+	reqs    map[policy.RequestID]*request
+	nextID  policy.RequestID
+	fifo    []policy.Event // for the module, those before head done
+	head    int
+	acts    []policy.Action
+	servers map[policy.ServerID]string
+	list    []policy.Server // the last whole list, for a module made anew
+	perMail int
+}
+
+// state is where a request stands in its life.
+type state int
+
+const (
+	authorising state = iota // a Check is out
+	deciding                 // the module holds it
+	out                      // an attempt is out
+	answered                 // it has its final answer; an attempt may still be out
+)
+
+type request struct {
+	id       policy.RequestID
+	try      *Try
+	reply    func(Answer)
+	state    state
+	deadline time.Duration
+	timer    *timers.Timer // at the deadline
+	cancel   func()        // of the Check, or the attempt out
+	limit    *timers.Timer // of the Check, or the attempt out
+	attempts int
+	live     bool // an attempt is out
+	server   policy.ServerID
+	sentAt   time.Duration
+	last     policy.Code // how the last attempt ended
+	detail   string
+	add      http1.Header // what the authoriser adds and takes out
+	remove   []string
+	taken    time.Duration
+}
+
+// New returns a node that Run starts.
+func New(o Options) (*Node, error) {
+	gw, err := policy.New(o.Settings, o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if o.Base.IsZero() {
+		o.Base = time.Now()
+	}
+	return &Node{o: o, base: o.Base, gw: gw, seed: o.Seed, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1),
+		reqs: map[policy.RequestID]*request{}, servers: map[policy.ServerID]string{},
+		perMail: o.Settings.Gateways}, nil
+}
+
+// post gives the loop something to do.
+func (n *Node) post(f func()) {
+	n.mu.Lock()
+	n.queue = append(n.queue, f)
+	first := len(n.queue) == 1
+	n.mu.Unlock()
+	if first {
+		select {
+		case n.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run runs the loop until the context ends. What is not answered by then is
+// failed.
+func (n *Node) Run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var batch []func()
+	for {
+		// What ran out goes first: after a stall, nothing is done for requests
+		// that are too late.
+		n.now = time.Since(n.base)
+		n.wheel.Advance(n.now)
+		n.settle()
+		n.mu.Lock()
+		batch, n.queue = n.queue, batch[:0]
+		n.mu.Unlock()
+		for i, f := range batch {
+			f()
+			n.settle()
+			batch[i] = nil
+		}
+		if len(batch) > 0 {
+			continue
+		}
+		next, ok := n.wheel.Next()
+		if !ok {
+			next = n.now + time.Hour
+		}
+		timer.Reset(next - time.Since(n.base))
+		select {
+		case <-n.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+			n.mu.Lock()
+			n.closing = true
+			batch, n.queue = n.queue, nil
+			n.mu.Unlock()
+			for _, f := range batch {
+				f()
+			}
+			n.failAll("stopped")
+			return
+		}
+	}
+}
+
+// Take takes a try; reply is called once with its final answer, from the loop
+// or at once, and must not block. The returned function says that the client
+// has left.
+func (n *Node) Take(t *Try, reply func(Answer)) (gone func()) {
+	n.mu.Lock()
+	closing, full := n.closing, n.open >= n.o.Most
+	if !closing && !full {
+		n.open++
+	}
+	n.mu.Unlock()
+	if closing || full {
+		why := Overload
+		if closing {
+			why = Draining
+		}
+		a := Answer{Kind: Refused, Reason: why, RetryAfter: n.o.Settings.MaxRetryAfter}
+		n.line(t, a, 0, 0, "")
+		reply(a)
+		return func() {}
+	}
+	r := &request{try: t, reply: reply}
+	at := time.Since(n.base)
+	n.post(func() { n.begin(r, at) })
+	return func() { n.post(func() { n.clientGone(r) }) }
+}
+
+// Peer tells of a message from a peer.
+func (n *Node) Peer(from int, data []byte) {
+	n.post(func() { n.feed(policy.PeerMessage{From: from, Data: data}) })
+}
+
+// Members tells of the server list.
+func (n *Node) Members(kind policy.MembersKind, list []Server) {
+	n.post(func() {
+		m := policy.Members{Kind: kind}
+		for _, s := range list {
+			if !s.Started.IsZero() {
+				s.HasStart, s.Start = true, s.Started.Sub(n.base)
+			}
+			n.servers[s.ID] = s.Address
+			m.Servers = append(m.Servers, s.Server)
+		}
+		if kind == policy.Whole || kind == policy.Remembered {
+			n.list = m.Servers
+		}
+		n.feed(m)
+	})
+}
+
+// Ended tells how the attempt that a Go let a proxy make has ended.
+func (n *Node) Ended(id policy.RequestID, attempt int, res Result) {
+	n.post(func() {
+		if r := n.reqs[id]; r != nil && r.live && r.try.Proxied && attempt == r.attempts-1 {
+			n.attemptEnded(r, attempt, res)
+		}
+	})
+}
+
+// Drain lets no more tries in and waits until all are answered, or the context
+// ends.
+func (n *Node) Drain(ctx context.Context) error {
+	for {
+		n.mu.Lock()
+		n.closing = true
+		left := n.open
+		n.mu.Unlock()
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-n.idle:
+		case <-ctx.Done():
+			return fmt.Errorf("%d requests not answered: %w", left, ctx.Err())
+		}
+	}
+}
+
+// Open is the number of tries not answered yet.
+func (n *Node) Open() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open
+}
+
+// begin takes a request in: its deadline is set and its Check is sent.
+func (n *Node) begin(r *request, at time.Duration) {
+	n.nextID++
+	r.id, r.taken = n.nextID, at
+	r.deadline = at + max(r.try.Patience-n.o.Margin, r.try.Patience/2)
+	n.reqs[r.id] = r
+	r.timer = n.wheel.Add(r.deadline, func() { n.expire(r) })
+	if n.o.Authz == nil {
+		n.decide(r)
+		return
+	}
+	step, budget := n.o.Authz.Begin(r.try.Class, r.deadline-n.now)
+	if step != authz.Ask {
+		n.authorised(r, step, Checked{})
+		return
+	}
+	r.state = authorising
+	r.limit = n.wheel.Add(n.now+budget, func() { n.checked(r, Checked{Verdict: authz.Late}) })
+	r.cancel = n.o.Authoriser.Check(r.try, budget, func(c Checked) {
+		n.post(func() { n.checked(r, c) })
+	})
+}
+
+// checked takes in how a request's Check ended; only the first word counts.
+func (n *Node) checked(r *request, c Checked) {
+	if r.state != authorising {
+		return
+	}
+	n.endWork(r)
+	r.state = deciding
+	n.authorised(r, n.o.Authz.End(r.try.Class, c.Verdict), c)
+}
+
+// endWork ends the Check or the attempt that is out.
+func (n *Node) endWork(r *request) {
+	r.limit.Stop()
+	if r.cancel != nil {
+		r.cancel()
+	}
+	r.cancel, r.limit = nil, nil
+}
+
+// leaveCheck ends a Check whose answer no longer matters.
+func (n *Node) leaveCheck(r *request) {
+	if r.state == authorising {
+		n.endWork(r)
+		n.o.Authz.End(r.try.Class, authz.Late)
+		r.state = deciding
+	}
+}
+
+func (n *Node) authorised(r *request, step authz.Step, c Checked) {
+	r.detail = c.Detail
+	a := Answer{Kind: Refused, RetryAfter: n.o.Settings.MaxRetryAfter}
+	switch step {
+	case authz.Deny:
+		a.Reason, a.Response, a.RetryAfter = AuthorisationDenied, c.Denial, 0
+	case authz.RefuseLate:
+		a.Reason = AuthorisationLate
+	case authz.RefuseError:
+		a.Reason = AuthorisationUnreachable
+	default:
+		h := &r.try.Call.Header
+		for _, name := range c.Remove {
+			h.Del(name)
+		}
+		for _, f := range c.Set {
+			h.Set(f.Name, f.Value)
+		}
+		*h = append(*h, c.Append...)
+		r.add, r.remove = append(c.Set, c.Append...), c.Remove
+		n.decide(r)
+		return
+	}
+	n.answer(r, a)
+	n.forget(r)
+}
+
+// decide gives a request to the module.
+func (n *Node) decide(r *request) {
+	r.state = deciding
+	t := r.try
+	n.feed(policy.Request{ID: r.id, Customer: t.Customer, Plan: t.Plan, Class: t.Class, Units: t.Units,
+		Remaining: r.deadline - n.now, First: t.First, Spread: t.Spread, Retry: t.Repeat})
+}
+
+// feed queues an event for the module.
+func (n *Node) feed(ev policy.Event) { n.fifo = append(n.fifo, ev) }
+
+// settle gives the module its events and carries out what it says, in order,
+// until it has nothing more to say.
+func (n *Node) settle() {
+	for n.head < len(n.fifo) {
+		ev := n.fifo[n.head]
+		n.head++
+		acts, err := n.handle(ev)
+		if err != nil {
+			n.broken(ev, err)
+			continue
+		}
+		for _, a := range acts {
+			n.act(a)
+		}
+	}
+	n.fifo, n.head = n.fifo[:0], 0
+}
+
+func (n *Node) handle(ev policy.Event) (acts []policy.Action, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%v\n%s", p, debug.Stack())
+		}
+	}()
+	n.acts = n.gw.Handle(n.now, ev, n.acts[:0])
+	return n.acts, nil
+}
+
+// broken answers for a module that panicked: what it held is failed, and a new
+// one starts as after a restart.
+func (n *Node) broken(ev policy.Event, err error) {
+	n.o.Log.Error("panic in a decision; all requests are failed and the module starts anew",
+		"event", fmt.Sprintf("%T", ev), "panic", err)
+	n.failAll("panic in a decision")
+	n.seed++
+	gw, err := policy.New(n.o.Settings, n.seed)
+	if err != nil {
+		panic(err) // the settings were good at the start
+	}
+	n.gw = gw
+	n.fifo, n.head = n.fifo[:0], 0
+	n.feed(policy.Members{Kind: policy.Remembered, Servers: n.list})
+}
+
+func (n *Node) failAll(why string) {
+	for _, r := range n.reqs {
+		n.leaveCheck(r)
+		n.answer(r, Answer{Kind: Failed, Reason: Internal, Detail: why})
+		n.endWork(r)
+		n.forget(r)
+	}
+}
+
+// act carries out one action of the module.
+func (n *Node) act(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Send:
+		n.send(a)
+	case policy.Cancel:
+		if r := n.reqs[a.ID]; r != nil && r.live && a.Attempt == r.attempts-1 && !r.try.Proxied {
+			n.attemptEnded(r, a.Attempt, Result{Code: policy.Cancelled, Detail: "called back"})
+		}
+	case policy.Refuse:
+		if r := n.reqs[a.ID]; r != nil {
+			n.answer(r, Answer{Kind: Refused, Reason: n.reason(r, a.Reason), RetryAfter: a.RetryAfter})
+			n.done(r)
+		}
+	case policy.Fail:
+		if r := n.reqs[a.ID]; r != nil {
+			n.answer(r, Answer{Kind: Failed, Reason: n.reason(r, a.Reason)})
+			n.done(r)
+		}
+	case policy.SetTimer:
+		n.wheel.Add(n.now+a.After, func() { n.feed(policy.Timer{Token: a.Token}) })
+	case policy.Tell:
+		if a.To >= 0 {
+			n.o.Tell(a.To, a.Data)
+			break
+		}
+		for i := range n.perMail {
+			if i != n.o.Settings.Me {
+				n.o.Tell(i, a.Data)
+			}
+		}
+	case policy.Log:
+		n.o.Log.Info(a.Text, "from", "policy")
+	}
+}
+
+// send starts an attempt. What is too late, or over, is not sent.
+func (n *Node) send(a policy.Send) {
+	r := n.reqs[a.ID]
+	if r == nil {
+		return
+	}
+	r.server, r.sentAt, r.live = a.Server, n.now, true
+	r.attempts++
+	attempt := r.attempts - 1
+	left := r.deadline - n.now
+	if r.state == answered || left <= 0 {
+		n.attemptEnded(r, attempt, Result{Code: policy.Moot, Detail: "too late to send"})
+		return
+	}
+	if a.Timeout > 0 {
+		left = min(left, a.Timeout)
+	}
+	r.state = out
+	r.limit = n.wheel.Add(n.now+left, func() {
+		n.attemptEnded(r, attempt, Result{Code: policy.TimedOut, Detail: "no answer in time"})
+	})
+	address := n.servers[a.Server]
+	if r.try.Proxied {
+		n.answer(r, Answer{Kind: Served, Go: &Go{ID: r.id, Attempt: attempt, Server: address, Timeout: left,
+			Header: r.add, Remove: r.remove}})
+		return
+	}
+	r.cancel = n.o.Upstream.Start(Attempt{ID: r.id, Number: attempt, Address: address, Timeout: left, Try: r.try},
+		func(res Result) {
+			n.post(func() {
+				if r.live && attempt == r.attempts-1 {
+					r.cancel = nil // it has ended by itself
+					n.attemptEnded(r, attempt, res)
+				}
+			})
+		})
+}
+
+// attemptEnded takes in how the attempt that is out has ended; only the first
+// word counts. A server's answer is the client's, and ends the request.
+func (n *Node) attemptEnded(r *request, attempt int, res Result) {
+	if !r.live {
+		return
+	}
+	n.endWork(r)
+	r.live, r.last = false, res.Code
+	if res.Detail != "" {
+		r.detail = res.Detail
+	}
+	if res.Code == policy.OK && r.state != answered {
+		n.answer(r, Answer{Kind: Served, Response: res.Response})
+	}
+	over := r.state == answered
+	if r.state == out {
+		r.state = deciding
+	}
+	if res.Latency == 0 {
+		res.Latency = n.now - r.sentAt
+	}
+	n.feed(policy.Outcome{ID: r.id, Attempt: attempt, Server: r.server, Code: res.Code, Latency: res.Latency, Over: over})
+	n.done(r)
+}
+
+// expire comes at a request's deadline. An attempt that is out ends by its own
+// timer, set for no later; the module has then a last word. This is the net
+// below it all: one answer is owed in any case.
+func (n *Node) expire(r *request) {
+	if r.state == answered {
+		return
+	}
+	if r.live {
+		n.attemptEnded(r, r.attempts-1, Result{Code: policy.TimedOut, Detail: "no answer in time"})
+		n.settle()
+	}
+	if r.state == answered {
+		return
+	}
+	if r.state == authorising {
+		n.checked(r, Checked{Verdict: authz.Late})
+		n.settle()
+	}
+	if r.state == answered {
+		return
+	}
+	n.o.Log.Warn("the module gave no answer by the deadline", "trace", r.try.Trace, "class", r.try.Class)
+	n.feed(policy.Gone{ID: r.id})
+	a := Answer{Kind: Failed, Reason: NoTime}
+	if r.attempts == 0 {
+		a.Kind = Refused // nothing ran
+	}
+	n.answer(r, a)
+	n.done(r)
+}
+
+// clientGone comes when a client left before its answer. Nothing more is owed;
+// an attempt that is out runs to its end.
+func (n *Node) clientGone(r *request) {
+	if r.state == answered {
+		return
+	}
+	n.leaveCheck(r)
+	n.feed(policy.Gone{ID: r.id})
+	n.answer(r, Answer{Kind: Failed, Reason: ClientGone})
+	n.done(r)
+}
+
+// answer gives the one final answer.
+func (n *Node) answer(r *request, a Answer) {
+	if r.state == answered {
+		return
+	}
+	r.state = answered
+	r.timer.Stop()
+	n.line(r.try, a, n.now-r.taken, r.attempts, r.detail)
+	r.reply(a)
+	n.mu.Lock()
+	n.open--
+	empty := n.open == 0
+	n.mu.Unlock()
+	if empty {
+		select {
+		case n.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// line logs a final answer.
+func (n *Node) line(t *Try, a Answer, took time.Duration, attempts int, detail string) {
+	kind := a.Kind.String()
+	if a.Go != nil {
+		kind = "let pass"
+	}
+	attrs := []slog.Attr{slog.String("answer", kind), slog.String("trace", t.Trace), slog.String("class", t.Class),
+		slog.String("customer", t.Customer), slog.Int("attempts", attempts), slog.Duration("took", took)}
+	if a.Reason != None {
+		attrs = append(attrs, slog.String("reason", string(a.Reason)))
+	}
+	if a.Response != nil {
+		attrs = append(attrs, slog.Int("status", a.Response.Status))
+	}
+	if detail != "" {
+		attrs = append(attrs, slog.String("detail", detail))
+	}
+	n.o.Log.LogAttrs(context.Background(), slog.LevelInfo, "answer", attrs...)
+}
+
+// done forgets a request that is answered and has no attempt out.
+func (n *Node) done(r *request) {
+	if r.state == answered && !r.live {
+		n.forget(r)
+	}
+}
+
+func (n *Node) forget(r *request) {
+	r.timer.Stop()
+	delete(n.reqs, r.id)
+}
+
+// reason names the module's reason, or how the last attempt ended.
+func (n *Node) reason(r *request, why policy.Reason) Reason {
+	if why == policy.Attempted || r.attempts > 0 && why == policy.NoServer {
+		switch r.last {
+		case policy.TimedOut, policy.Cancelled:
+			return ServerLate
+		case policy.ConnectFailed, policy.Reset:
+			return ServerGone
+		case policy.Error:
+			return ServerError
+		case policy.Full:
+			return ServerFull
+		case policy.Moot:
+			return NoTime
+		}
+	}
+	switch why {
+	case policy.OverQuota:
+		return Quota
+	case policy.OverCap:
+		return OpenCap
+	case policy.OverHard:
+		return Ceiling
+	case policy.NoServer:
+		return NoServer
+	case policy.NoTime:
+		return NoTime
+	case policy.NoRoot:
+		return QuotaUnknown
+	}
+	return Shed // also a reason that a newer root gave
+}
--- /dev/null
+++ b/peer/guard.go
@@ -0,0 +1,176 @@
+// Package peer carries the module's messages between the nodes of a fleet over
+// UDP, authenticated and protected against replay.
+package peer
+
+import (
+	"crypto/subtle"
+	"encoding/binary"
+	"time"
+
+	"github.com/zeebo/blake3"
+)
+
+// Header precedes every message.
+type Header struct {
+	From, To    uint16
+	Incarnation uint64 // of the sender's process; a later start has a higher one
+	Seq         uint64 // counts the process's messages from 1
+	Sent        time.Time
+}
+
+const (
+	version    = 1
+	headerSize = 1 + 2 + 2 + 8 + 8 + 8
+	macSize    = 16
+	// MaxPayload is the most a message carries.
+	MaxPayload = 256
+)
+
+// Seal makes a packet: header, payload, and the first 16 bytes of their keyed
+// BLAKE3 hash. The key has 32 bytes.
+func Seal(key []byte, h Header, payload []byte) []byte {
+	b := make([]byte, 0, headerSize+len(payload)+macSize)
+	b = append(b, version)
+	b = binary.BigEndian.AppendUint16(b, h.From)
+	b = binary.BigEndian.AppendUint16(b, h.To)
+	b = binary.BigEndian.AppendUint64(b, h.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, h.Seq)
+	b = binary.BigEndian.AppendUint64(b, uint64(h.Sent.UnixMilli()))
+	b = append(b, payload...)
+	return append(b, mac(key, b)...)
+}
+
+func mac(key, b []byte) []byte {
+	h, err := blake3.NewKeyed(key)
+	if err != nil {
+		panic(err) // the key's length was checked
+	}
+	h.Write(b)
+	return h.Sum(nil)[:macSize]
+}
+
+// Open checks a packet's form and hash; false for any that the key did not seal.
+func Open(key, b []byte) (h Header, payload []byte, ok bool) {
+	if len(b) < headerSize+macSize || len(b) > headerSize+MaxPayload+macSize || b[0] != version {
+		return h, nil, false
+	}
+	body, sum := b[:len(b)-macSize], b[len(b)-macSize:]
+	if subtle.ConstantTimeCompare(mac(key, body), sum) != 1 {
+		return h, nil, false
+	}
+	h.From, h.To = binary.BigEndian.Uint16(body[1:]), binary.BigEndian.Uint16(body[3:])
+	h.Incarnation, h.Seq = binary.BigEndian.Uint64(body[5:]), binary.BigEndian.Uint64(body[13:])
+	h.Sent = time.UnixMilli(int64(binary.BigEndian.Uint64(body[21:])))
+	return h, body[headerSize:], true
+}
+
+// Word is what a Guard says of a message.
+type Word int
+
+// The words.
+const (
+	Accept     Word = iota
+	Foreign         // not for this node, or from a number that is not in the fleet
+	Stale           // sent too long ago, or clocks differ by more than the freshness
+	Replayed        // seen before
+	Older           // from an earlier process of the peer
+	TooMany         // beyond the mail a node takes in
+	Twice           // two processes act under the sender's number
+	TwiceHere       // another process acts under this node's number
+	wordsCount int  = iota
+)
+
+func (w Word) String() string {
+	return [...]string{"accepted", "foreign", "stale", "replayed", "from an older process", "too many",
+		"number in use twice", "this node's number in use twice"}[w]
+}
+
+// Guard decides which messages are taken. It has no I/O; its time is what it is
+// given. It is not safe for concurrent use.
+//
+// It rests on clocks of the fleet that agree to within the freshness: a node
+// that has just started knows no sequence numbers, and only the time of sending
+// keeps old packets out then.
+type Guard struct {
+	me          uint16
+	incarnation uint64
+	freshness   time.Duration
+	rate        float64 // messages a second taken in
+	tokens      float64
+	at          time.Time
+	peers       []sender
+}
+
+type sender struct {
+	incarnation uint64
+	since       time.Time // when its first message was sent
+	seq         uint64
+	window      uint64 // which of the 64 up to seq were seen
+}
+
+// burstTime is the mail of this time that may come at once.
+const burstTime = 0.5
+
+// NewGuard returns a Guard for a node of a fleet.
+func NewGuard(me, nodes int, incarnation uint64, freshness time.Duration, rate float64) *Guard {
+	return &Guard{me: uint16(me), incarnation: incarnation, freshness: freshness, rate: rate,
+		tokens: max(1, rate*burstTime), peers: make([]sender, nodes)}
+}
+
+// Judge says whether an authentic message is taken.
+func (g *Guard) Judge(now time.Time, h Header) Word {
+	if int(h.From) >= len(g.peers) || h.To != g.me && h.From != g.me {
+		return Foreign
+	}
+	if age := now.Sub(h.Sent); age > g.freshness || age < -g.freshness {
+		return Stale
+	}
+	if h.From == g.me {
+		if h.Incarnation == g.incarnation {
+			return Foreign // its own, sent back
+		}
+		return TwiceHere
+	}
+	p := &g.peers[h.From]
+	switch {
+	case h.Incarnation < p.incarnation:
+		// What was under way at a restart is merely old. A process that still
+		// sends after its successor began is a second one.
+		if h.Sent.After(p.since) {
+			return Twice
+		}
+		return Older
+	case h.Incarnation > p.incarnation:
+		*p = sender{incarnation: h.Incarnation, since: h.Sent}
+	}
+	if !p.fresh(h.Seq) {
+		return Replayed
+	}
+	g.tokens = min(max(1, g.rate*burstTime), g.tokens+g.rate*now.Sub(g.at).Seconds())
+	g.at = now
+	if g.tokens < 1 {
+		return TooMany
+	}
+	g.tokens--
+	return Accept
+}
+
+// fresh notes a sequence number; false where it was seen, or is too old to tell.
+func (p *sender) fresh(seq uint64) bool {
+	switch {
+	case seq == 0:
+		return false
+	case seq > p.seq:
+		if shift := seq - p.seq; shift < 64 {
+			p.window = p.window<<shift | 1
+		} else {
+			p.window = 1
+		}
+		p.seq = seq
+		return true
+	case p.seq-seq >= 64 || p.window>>(p.seq-seq)&1 == 1:
+		return false
+	}
+	p.window |= 1 << (p.seq - seq)
+	return true
+}
--- /dev/null
+++ b/peer/mail.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/network"
+)
+
+// Options is what a Mail is made of.
+type Options struct {
+	Network     network.Network
+	Listen      string
+	Addresses   map[int]string // of the others, by number
+	Me          int
+	Key         []byte
+	Incarnation uint64
+	Freshness   time.Duration
+	Rate        float64 // messages a second taken in
+	Log         *slog.Logger
+	Deliver     func(from int, data []byte)
+}
+
+// Mail sends and takes messages.
+type Mail struct {
+	o     Options
+	pc    net.PacketConn
+	to    map[int]net.Addr
+	out   chan letter
+	done  chan struct{}
+	ended sync.WaitGroup
+}
+
+type letter struct {
+	to   int
+	data []byte
+}
+
+const mostWaiting = 4096 // letters waiting to be sent; more are lost
+
+// Listen starts a Mail.
+func Listen(o Options) (*Mail, error) {
+	m := &Mail{o: o, to: map[int]net.Addr{}, out: make(chan letter, mostWaiting), done: make(chan struct{})}
+	for n, addr := range o.Addresses {
+		a, err := network.Addr(o.Network, addr)
+		if err != nil {
+			return nil, fmt.Errorf("peer %d: %w", n, err)
+		}
+		m.to[n] = a
+	}
+	pc, err := o.Network.ListenPacket(o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	m.pc = pc
+	m.ended.Go(m.send)
+	m.ended.Go(m.receive)
+	return m, nil
+}
+
+// Tell sends a message, or loses it; it does not block.
+func (m *Mail) Tell(to int, data []byte) {
+	select {
+	case m.out <- letter{to, data}:
+	default:
+	}
+}
+
+// Close ends the Mail.
+func (m *Mail) Close() {
+	close(m.done)
+	m.pc.Close()
+	m.ended.Wait()
+}
+
+func (m *Mail) send() {
+	var seq uint64
+	for {
+		select {
+		case l := <-m.out:
+			if addr := m.to[l.to]; addr != nil && len(l.data) <= MaxPayload {
+				seq++
+				m.pc.WriteTo(Seal(m.o.Key, Header{From: uint16(m.o.Me), To: uint16(l.to), Incarnation: m.o.Incarnation,
+					Seq: seq, Sent: time.Now()}, l.data), addr)
+			}
+		case <-m.done:
+			return
+		}
+	}
+}
+
+func (m *Mail) receive() {
+	g := NewGuard(m.o.Me, len(m.o.Addresses)+1, m.o.Incarnation, m.o.Freshness, m.o.Rate)
+	var told [wordsCount]time.Time
+	b := make([]byte, headerSize+MaxPayload+macSize+1)
+	for {
+		n, from, err := m.pc.ReadFrom(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // ICMP errors of earlier sends, on some systems
+		}
+		h, payload, ok := Open(m.o.Key, b[:n])
+		now, word := time.Now(), Foreign
+		if ok {
+			word = g.Judge(now, h)
+		}
+		if word == Accept {
+			m.o.Deliver(int(h.From), append([]byte(nil), payload...))
+			continue
+		}
+		const every = time.Second // lines of one kind
+		if now.Sub(told[word]) < every {
+			continue
+		}
+		told[word] = now
+		level := slog.LevelDebug
+		if word == Twice || word == TwiceHere {
+			level = slog.LevelError
+		}
+		m.o.Log.Log(context.Background(), level, "message dropped: "+word.String(), "number", h.From, "from", from.String())
+	}
+}
+
+// Incarnation draws the number of a process: its start in nanoseconds of Unix
+// time, and above the last one remembered in a directory; "" remembers nothing.
+// The number is good also where remembering failed, as the error then says.
+func Incarnation(dir string, now time.Time) (uint64, error) {
+	inc := uint64(now.UnixNano())
+	if dir == "" {
+		return inc, nil
+	}
+	path := filepath.Join(dir, "incarnation")
+	b, err := os.ReadFile(path)
+	var torn error
+	switch last, perr := strconv.ParseUint(strings.TrimSpace(string(b)), 10, 64); {
+	case err == nil && perr == nil:
+		inc = max(inc, last+1)
+	case err == nil:
+		torn = fmt.Errorf("peer: %s is torn or foreign; the clock alone gives the incarnation", path)
+	case !errors.Is(err, fs.ErrNotExist):
+		return inc, err
+	}
+	tmp := path + ".new"
+	if err := os.WriteFile(tmp, []byte(strconv.FormatUint(inc, 10)+"\n"), 0o600); err != nil {
+		return inc, err
+	}
+	return inc, cmp.Or(torn, os.Rename(tmp, path))
+}
--- /dev/null
+++ b/upstream/ends.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"fmt"
+	"strings"
+
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// How far an attempt came before it ended without a whole response.
+type phase int
+
+const (
+	notConnected phase = iota // no connection was made
+	nothingSent               // the connection took no byte of the request
+	partSent                  // it took some bytes, not all
+	noResponse                // it ended before a byte of the response: reset, closed or half-closed
+	badResponse               // the response was malformed, too long or cut short
+)
+
+// ends is the one table of what an attempt's end proves. Only ConnectFailed
+// (and a status that the servers' contract reserves, as policy.Full) proves that
+// nothing ran; silence, a reset or a half-close after a byte has left, and a
+// lost keep-alive race prove nothing. A cancel and a time-out are the node's
+// own: Cancelled and TimedOut.
+var ends = [...]struct {
+	code policy.Code
+	what string
+}{
+	notConnected: {policy.ConnectFailed, "not connected"},
+	nothingSent:  {policy.ConnectFailed, "connection ended before a byte was sent"},
+	partSent:     {policy.Reset, "connection ended while the request was sent"},
+	noResponse:   {policy.Reset, "connection ended without a response"},
+	badResponse:  {policy.Reset, "response cut or malformed"},
+}
+
+func ended(p phase, err error) (policy.Code, string) {
+	return ends[p].code, fmt.Sprintf("%s: %v", ends[p].what, err)
+}
+
+// TurnedAway is the response that proves, by the servers' contract, that a
+// request did not run: a status with a header field. Zero: none does.
+type TurnedAway struct {
+	Status int
+	Header string // in canonical form
+}
+
+// Is tells whether a response is such a one; has looks a field up by its name
+// in lower case.
+func (t TurnedAway) Is(status int, has func(lower string) bool) bool {
+	return t.Status != 0 && status == t.Status && has(strings.ToLower(t.Header))
+}
+
+// code is what a whole response says. A status below 500 is the answer to the
+// client's request, whatever it says; one above may come after work was done.
+func (t TurnedAway) code(res *http1.Response) policy.Code {
+	switch {
+	case t.Is(res.Status, func(string) bool { return res.Header.Has(t.Header) }):
+		return policy.Full
+	case res.Status >= 500:
+		return policy.Error
+	}
+	return policy.OK
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,313 @@
+// Package upstream makes attempts at servers over HTTP/1.1 on kept connections.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// Options bounds what a Pool does.
+type Options struct {
+	Network     network.Network
+	Limits      http1.Limits  // of responses
+	ConnectTime time.Duration // to connect to a server
+	Idle        int           // idle connections kept to each server
+	TurnedAway  TurnedAway
+}
+
+// Pool keeps connections to servers and makes attempts on them. It is a
+// node.Upstream.
+type Pool struct {
+	o      Options
+	mu     sync.Mutex
+	idle   map[string][]*conn // by address; the last used goes first
+	closed bool
+	conns  sync.WaitGroup
+}
+
+// New returns an empty Pool.
+func New(o Options) *Pool { return &Pool{o: o, idle: map[string][]*conn{}} }
+
+// attempt is one attempt on its way.
+type attempt struct {
+	node.Attempt
+	p    *Pool
+	done func(node.Result)
+
+	mu    sync.Mutex
+	over  bool // it has ended, or was cancelled
+	c     *conn
+	dial  context.CancelFunc
+	wrote bool // the whole request has left
+	keep  bool // it ended well before that
+}
+
+// Start makes an attempt; see node.Upstream.
+func (p *Pool) Start(a node.Attempt, done func(node.Result)) (cancel func()) {
+	ctx, stop := context.WithTimeout(context.Background(), p.o.ConnectTime)
+	t := &attempt{Attempt: a, p: p, done: done, dial: stop}
+	go t.run(ctx)
+	return t.cancel
+}
+
+// cancel ends the attempt's work: HTTP/1.1 has no other way than to close the
+// connection.
+func (t *attempt) cancel() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.over {
+		return
+	}
+	t.over = true
+	t.dial()
+	if t.c != nil {
+		t.c.nc.Close()
+	}
+}
+
+// end reports how the attempt ended, once. Its connection is kept only where
+// the response was read whole and the request written whole.
+func (t *attempt) end(res node.Result, reusable bool) {
+	t.mu.Lock()
+	if t.over {
+		t.mu.Unlock()
+		return
+	}
+	t.over = true
+	c := t.c
+	t.dial()
+	switch {
+	case c == nil:
+	case reusable && t.wrote:
+		t.p.keep(c)
+	case reusable:
+		// A server may answer before it has read the body. It must read on soon.
+		t.keep = true
+		c.nc.SetWriteDeadline(time.Now().Add(t.p.o.ConnectTime))
+	default:
+		c.nc.Close()
+	}
+	t.mu.Unlock()
+	t.done(res)
+}
+
+func (t *attempt) run(ctx context.Context) {
+	call := &t.Try.Call
+	buf := http1.AppendRequest(nil, call.Method, call.Target, call.Host, call.Header, call.Body)
+	for {
+		c, fresh, err := t.connect(ctx)
+		if err != nil {
+			code, detail := ended(notConnected, err)
+			t.end(node.Result{Code: code, Detail: detail}, false)
+			return
+		}
+		t.mu.Lock()
+		if t.over {
+			t.mu.Unlock()
+			t.p.keep(c) // nothing was sent on it
+			return
+		}
+		t.c = c
+		t.mu.Unlock()
+		n, assigned := 0, c.assign(t)
+		if err = net.ErrClosed; assigned {
+			n, err = c.nc.Write(buf)
+		}
+		switch {
+		case err == nil:
+			t.written()
+			return
+		case n > 0:
+			code, detail := ended(partSent, err)
+			t.end(node.Result{Code: code, Detail: detail}, false)
+			return
+		case fresh:
+			code, detail := ended(nothingSent, err)
+			t.end(node.Result{Code: code, Detail: detail}, false)
+			return
+		}
+		// A kept connection that the server closed in the meantime, and that took
+		// no byte, says nothing of the server: the same attempt goes on another.
+		if assigned && !c.unassign(t) {
+			return // its reader reports the end
+		}
+		c.nc.Close()
+	}
+}
+
+// connect takes a kept connection or makes one.
+func (t *attempt) connect(ctx context.Context) (c *conn, fresh bool, err error) {
+	if c := t.p.take(t.Address); c != nil {
+		return c, false, nil
+	}
+	nc, err := t.p.o.Network.Dial(ctx, t.Address)
+	if err != nil {
+		return nil, true, err
+	}
+	return t.p.open(t.Address, nc), true, nil
+}
+
+// written notes that the whole request has left. Where the response was quicker
+// the connection is kept only now.
+func (t *attempt) written() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wrote = true
+	if t.keep {
+		t.p.keep(t.c)
+	}
+}
+
+// take takes an idle connection to an address, or nil.
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// keep puts a connection back, or closes it.
+func (p *Pool) keep(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[c.address]) >= p.o.Idle {
+		c.nc.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+func (p *Pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.address]
+	for i := range list {
+		if list[i] == c {
+			p.idle[c.address] = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(p.idle[c.address]) == 0 {
+		delete(p.idle, c.address)
+	}
+}
+
+// Close closes the idle connections and waits until all have ended.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.nc.Close()
+		}
+	}
+	p.mu.Unlock()
+	p.conns.Wait()
+}
+
+// conn is one connection, with a goroutine that reads from it, idle or not: a
+// server that closes it is noticed before a request is lost on it.
+type conn struct {
+	p       *Pool
+	address string
+	nc      net.Conn
+	r       *http1.Reader
+
+	mu  sync.Mutex
+	t   *attempt // whose response is awaited
+	bad bool     // it has ended
+}
+
+func (p *Pool) open(address string, nc net.Conn) *conn {
+	c := &conn{p: p, address: address, nc: nc, r: http1.NewReader(nc, p.o.Limits)}
+	p.conns.Add(1)
+	go c.read()
+	return c
+}
+
+// assign gives the connection an attempt to carry; false where it has ended.
+func (c *conn) assign(t *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bad || c.r.Buffered() > 0 {
+		return false // the server ended it, or spoke unasked
+	}
+	c.t = t
+	return true
+}
+
+// unassign takes an attempt back; false where its end was seen already.
+func (c *conn) unassign(t *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.t != t {
+		return false
+	}
+	c.t = nil
+	return true
+}
+
+func (c *conn) read() {
+	defer c.p.conns.Done()
+	for {
+		err := c.r.Await()
+		c.mu.Lock()
+		t := c.t
+		c.t = nil
+		if t == nil || err != nil {
+			c.bad = true
+		}
+		c.mu.Unlock()
+		if t == nil {
+			break
+		}
+		if err != nil {
+			code, detail := ended(noResponse, err)
+			t.end(node.Result{Code: code, Detail: detail}, false)
+			break
+		}
+		if !c.response(t) {
+			break
+		}
+	}
+	c.p.drop(c)
+	c.nc.Close()
+}
+
+// response reads the response to an attempt. It tells whether the connection
+// may be used further.
+func (c *conn) response(t *attempt) bool {
+	head, err := c.r.Response(t.Try.Call.Method)
+	if err != nil {
+		code, detail := ended(badResponse, err)
+		t.end(node.Result{Code: code, Detail: detail}, false)
+		return false
+	}
+	body, err := c.r.Body(head.Framing, head.Length)
+	if err != nil {
+		code, detail := ended(badResponse, err)
+		t.end(node.Result{Code: code, Detail: detail}, false)
+		return false
+	}
+	res := &node.Response{Status: head.Status, Header: head.Header.EndToEnd(), Body: body}
+	result := node.Result{Code: c.p.o.TurnedAway.code(head), Response: res}
+	if result.Code != policy.OK {
+		result.Detail = fmt.Sprintf("status %d", head.Status)
+	}
+	t.end(result, head.KeepAlive() && c.r.Buffered() == 0)
+	return head.KeepAlive()
+}
