--- a/audit/records.go
+++ b/audit/records.go
@@ -19,10 +19,9 @@
 	Answer   string    // served, refused, failed; "": none
 	Reason   string
 	Status   int
-	Extra    bool // more bytes came after the answer
+	Foreign  bool // the answer was another request's
+	Refused  bool // no connection was made: nobody took the try
 	Repeat   bool // a client's retry of an earlier try
-	Beyond   bool // sent beyond the customer's quota on purpose
-	Err      string
 }
 
 // Seen is a server's record of one attempt that arrived whole.
@@ -54,10 +53,11 @@
 	At     time.Time
 }
 
-// Down is a time in which a node did not run: killed, or stopped.
+// Down is a time in which a node did not run.
 type Down struct {
 	Node     int
 	From, To time.Time
+	Killed   bool // and knew nothing afterwards; else it was only stopped
 }
 
 // Class is what the rules need to know of a class.
@@ -81,5 +81,5 @@
 	Classes  map[string]Class
 	Ceilings map[string]Ceiling // by plan
 	Grace    time.Duration      // of drains
-	Slop     time.Duration      // by which clocks and wakings of one machine may differ
+	Slop     time.Duration      // by which records of one machine may be late
 }
--- /dev/null
+++ b/day/callers.go
@@ -0,0 +1,183 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"yardcleat.example/yardcleat/audit"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/standin/catalogue"
+	"yardcleat.example/yardcleat/upstream"
+)
+
+func packetAddr(n network.Network, addr string) (net.Addr, error) { return network.Addr(n, addr) }
+
+// customer is one customer of a crowd.
+type customer struct {
+	Name string
+	Plan string
+	Use  float64 // units a second
+}
+
+func customers(s *Script) []customer {
+	rates := map[string]float64{}
+	for _, p := range s.Plans {
+		rates[p.Name] = p.Rate
+	}
+	var all []customer
+	for _, c := range s.Customers {
+		for i := range c.Count {
+			all = append(all, customer{fmt.Sprint(c.Name, "-", i), c.Plan, c.Use * rates[c.Plan]})
+		}
+	}
+	return all
+}
+
+// callers are the clients. Each customer asks at random times; what is refused
+// is tried again, with the same key, by another node.
+type callers struct {
+	d     *stage
+	pool  *upstream.Pool
+	tries sync.WaitGroup
+
+	mu     sync.Mutex
+	next   int
+	counts map[string]int
+	tried  []audit.Tried
+}
+
+func newCallers(d *stage) *callers {
+	return &callers{d: d, counts: map[string]int{}, pool: upstream.New(upstream.Options{Network: d.o.Env.Network("clients"),
+		ConnectTime: time.Second, Idle: 256,
+		Limits: http1.Limits{Line: 8 << 10, Fields: 100, Header: 32 << 10, Body: 8 << 20}})}
+}
+
+func (c *callers) close() { c.pool.Close() }
+
+func (c *callers) count() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]int{}
+	for k, v := range c.counts {
+		out[k] = v
+	}
+	return out
+}
+
+// run asks for a time and waits for the last answers.
+func (c *callers) run(ctx context.Context, length time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	var asking sync.WaitGroup
+	for i, who := range customers(c.d.s) {
+		asking.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(c.d.s.Seed), uint64(i)))
+			for sleep(ctx, time.Duration(rng.ExpFloat64()/who.Use*float64(time.Second))) {
+				seed := rng.Uint64()
+				c.tries.Go(func() { c.request(who, rand.New(rand.NewPCG(seed, 0))) })
+			}
+		})
+	}
+	asking.Wait()
+	c.tries.Wait()
+}
+
+// request is one request of a customer with its retries.
+func (c *callers) request(who customer, rng *rand.Rand) {
+	class := c.class(rng)
+	c.mu.Lock()
+	c.next++
+	number := c.next
+	c.mu.Unlock()
+	key := fmt.Sprint("key-", number)
+	deadline := time.Now().Add(dur(class.Deadline))
+	for attempt := range c.d.s.Clients.Retries + 1 {
+		patience := min(time.Duration((0.5+0.5*rng.Float64())*float64(dur(class.Deadline))), time.Until(deadline))
+		if patience < 10*time.Millisecond {
+			return
+		}
+		t := audit.Tried{Trace: fmt.Sprintf("try-%d-%d", number, attempt), Node: rng.IntN(c.d.s.Nodes), Front: "http",
+			Customer: who.Name, Plan: who.Plan, Class: class.Name, Units: max(1, class.Units), Repeat: attempt > 0}
+		if rng.Float64() < c.d.s.Clients.Proxied {
+			t.Front = "proxy"
+		}
+		c.try(&t, class, key, patience, attempt)
+		c.mu.Lock()
+		c.tried = append(c.tried, t)
+		c.counts[t.Answer]++
+		c.mu.Unlock()
+		again := t.Answer == "refused" || t.Refused || class.Effect == "safe"
+		if t.Answer == "served" || !again {
+			return
+		}
+		time.Sleep(time.Duration((0.5 + rng.Float64()) * float64(dur(c.d.s.Clients.Wait))))
+	}
+}
+
+func (c *callers) class(rng *rand.Rand) *Class {
+	at := rng.Float64()
+	for i := range c.d.s.Classes {
+		if at -= c.d.s.Classes[i].Share; at < 0 {
+			return &c.d.s.Classes[i]
+		}
+	}
+	return &c.d.s.Classes[0]
+}
+
+// try makes one try and records what came of it.
+func (c *callers) try(t *audit.Tried, class *Class, key string, patience time.Duration, attempt int) {
+	call := node.Call{Method: class.Method, Target: class.Path + t.Trace, Host: "catalogue.example"}
+	call.Header.Add("X-Api-Key", "key-of-"+t.Customer)
+	call.Header.Add("X-Request-Id", t.Trace)
+	call.Header.Add("X-Envoy-Expected-Rq-Timeout-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	call.Header.Add("X-Envoy-Attempt-Count", strconv.Itoa(attempt+1))
+	if class.Effect == "keyed" {
+		call.Header.Add("Idempotency-Key", key)
+	}
+	address := c.d.http[t.Node]
+	if t.Front == "proxy" {
+		address = c.d.proxies[t.Node]
+	}
+	t.Sent = time.Now()
+	t.GiveUp = t.Sent.Add(patience)
+	ended := make(chan node.Result, 1)
+	cancel := c.pool.Start(node.Attempt{Address: address, Try: &node.Try{Call: call}}, func(r node.Result) { ended <- r })
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case r := <-ended:
+		answer(t, r)
+	case <-timer.C:
+		cancel()
+	}
+}
+
+// answer reads what a client was told.
+func answer(t *audit.Tried, r node.Result) {
+	if r.Response == nil {
+		t.Refused = r.Code == policy.ConnectFailed
+		return
+	}
+	t.Answered, t.Status = time.Now(), r.Response.Status
+	t.Reason = r.Response.Header.Get("X-Yardcleat-Reason")
+	id := r.Response.Header.Get("X-Request-Id")
+	t.Foreign = id != "" && id != t.Trace
+	switch {
+	case t.Status == 502 || t.Status == 504 || t.Status == 500:
+		t.Answer = "failed"
+	case t.Reason != "" || r.Response.Header.Has(catalogue.NotRun):
+		t.Answer = "refused"
+	case t.Status >= 400:
+		t.Answer = "failed" // the proxy's own word: it promises nothing
+	default:
+		t.Answer = "served"
+	}
+}
--- /dev/null
+++ b/day/default.hcl
@@ -0,0 +1,181 @@
+# Half a minute of trouble: three nodes, ten catalogue servers in two racks.
+
+length          = "30s"
+nodes           = 3
+mail_per_second = 200
+
+servers {
+  count         = 10
+  cores         = 2
+  queue         = 16
+  racks         = 2
+  cold_share    = 0.21
+  warm_within   = "8s"
+  fall_multiple = 3
+  fall_time     = "1s"
+  drain_grace   = "250ms"
+  told_late     = "400ms"
+}
+
+clients {
+  retries = 2
+  wait    = "200ms"
+  proxied = 0.3
+}
+
+class "lookup" {
+  method   = "GET"
+  path     = "/records/"
+  effect   = "safe"
+  aim      = "800ms"
+  deadline = "3s"
+  work     = "60ms"
+  share    = 0.6
+}
+
+class "loan-change" {
+  method        = "POST"
+  path          = "/loans/"
+  effect        = "keyed"
+  group         = "cell"
+  window        = "2s"
+  aim           = "600ms"
+  deadline      = "2s"
+  work          = "40ms"
+  share         = 0.3
+  authorisation = "refuse"
+}
+
+class "note" {
+  method        = "POST"
+  path          = "/notes/"
+  effect        = "unsafe"
+  aim           = "600ms"
+  deadline      = "2s"
+  work          = "40ms"
+  share         = 0.1
+  authorisation = "allow"
+}
+
+plan "basic" {
+  rate  = 2
+  burst = 8
+}
+
+plan "extended" {
+  rate       = 8
+  burst      = 16
+  open       = 6
+  hard_rate  = 14
+  hard_burst = 24
+}
+
+plan "county" {
+  rate  = 30
+  burst = 60
+}
+
+customers "school" {
+  plan  = "basic"
+  count = 20
+  use   = 0.6
+}
+
+customers "town" {
+  plan  = "extended"
+  count = 5
+  use   = 0.8
+}
+
+# Asks for far more than its quota, and more than its hard ceiling.
+customers "flood" {
+  plan  = "extended"
+  count = 1
+  use   = 5
+}
+
+customers "county" {
+  plan  = "county"
+  count = 2
+  use   = 0.8
+}
+
+fault "node-kill" {
+  at     = "4s"
+  for    = "2s"
+  target = 1
+}
+fault "server-hang" {
+  at     = "5s"
+  for    = "6s"
+  target = 2
+}
+fault "peers-lose" {
+  at  = "6s"
+  for = "5s"
+  arg = "0.4"
+}
+fault "server-drain" {
+  at     = "7s"
+  for    = "3s"
+  target = 4
+}
+fault "server-fail" {
+  at     = "8s"
+  for    = "6s"
+  target = 5
+  arg    = "lookup"
+}
+fault "authoriser-slow" {
+  at  = "10s"
+  for = "4s"
+  arg = "120ms"
+}
+fault "server-vanish" {
+  at     = "11s"
+  for    = "1500ms"
+  target = 6
+}
+fault "server-half-close" {
+  at     = "12s"
+  for    = "2s"
+  target = 7
+}
+fault "authoriser-silent" {
+  at  = "14s"
+  for = "3s"
+}
+fault "server-return" {
+  at     = "15s"
+  target = 4
+}
+fault "node-stop" {
+  at     = "16s"
+  for    = "2s"
+  target = 0
+}
+fault "server-return" {
+  at     = "18s"
+  target = 6
+}
+fault "node-kill" {
+  at     = "19s"
+  for    = "1s"
+  target = 2
+}
+fault "server-slow" {
+  at     = "20s"
+  for    = "5s"
+  target = 1
+  arg    = "3"
+}
+fault "node-kill" {
+  at     = "21s"
+  for    = "1500ms"
+  target = 1
+}
+fault "peers-lose" {
+  at  = "23s"
+  for = "3s"
+  arg = "1"
+}
--- /dev/null
+++ b/day/env.go
@@ -0,0 +1,182 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/gateway"
+	"yardcleat.example/yardcleat/internal/network"
+)
+
+// Env is where a day is played.
+type Env interface {
+	// Network is what a stand-in or the clients use.
+	Network(host string) network.Network
+	// Address gives an address that nobody uses yet.
+	Address() (string, error)
+	// Dir is where a node keeps its files.
+	Dir(node int) (string, error)
+	// Start starts a node with a configuration.
+	Start(node int, hcl []byte) (Node, error)
+	// Slop is how late records may be here.
+	Slop() time.Duration
+}
+
+// Node is a node under a day's control.
+type Node interface {
+	Kill()              // at once
+	Stop(time.Duration) // holds it up for a time, and returns then
+	End() error         // asks it to drain, and waits
+}
+
+// Processes plays a day on loopback sockets, each node a process of its own.
+type Processes struct {
+	Program string // this program
+	Temp    string // a directory for configurations, state and logs
+}
+
+// Network is the machine's.
+func (p *Processes) Network(string) network.Network { return network.OS{} }
+
+// Slop is generous: the machine may be busy.
+func (p *Processes) Slop() time.Duration { return 60 * time.Millisecond }
+
+// Address finds a port that is free for TCP and UDP.
+func (p *Processes) Address() (string, error) {
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		pc, err := net.ListenPacket("udp", l.Addr().String())
+		l.Close()
+		if err != nil {
+			continue
+		}
+		pc.Close()
+		return l.Addr().String(), nil
+	}
+	return "", fmt.Errorf("no port is free")
+}
+
+// Dir is a directory below Temp.
+func (p *Processes) Dir(node int) (string, error) {
+	dir := filepath.Join(p.Temp, fmt.Sprint("node-", node))
+	return dir, os.MkdirAll(dir, 0o700)
+}
+
+// Start runs "serve"; its log goes to a file beside its configuration.
+func (p *Processes) Start(node int, hcl []byte) (Node, error) {
+	dir, err := p.Dir(node)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "node.hcl")
+	if err := os.WriteFile(path, hcl, 0o600); err != nil {
+		return nil, err
+	}
+	logs, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer logs.Close()
+	cmd := exec.Command(p.Program, "serve", "-c", path)
+	cmd.Stderr = logs
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	return &process{cmd}, nil
+}
+
+type process struct{ cmd *exec.Cmd }
+
+func (p *process) Kill() {
+	p.cmd.Process.Kill()
+	p.cmd.Wait()
+}
+
+func (p *process) Stop(d time.Duration) {
+	p.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+func (p *process) End() error {
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	return p.cmd.Wait()
+}
+
+// Bubble plays a day in virtual time, in a testing/synctest bubble.
+type Bubble struct {
+	Memory *network.Memory
+	Temp   string
+	Log    io.Writer
+	Seed   uint64
+	hosts  int
+}
+
+// Network is a host of the memory network.
+func (b *Bubble) Network(host string) network.Network { return b.Memory.Host(host) }
+
+// Slop is what crossing the network takes.
+func (b *Bubble) Slop() time.Duration { return 5 * time.Millisecond }
+
+// Address gives each its own host.
+func (b *Bubble) Address() (string, error) {
+	b.hosts++
+	return fmt.Sprintf("10.0.%d.%d:80", b.hosts/256, b.hosts%256), nil
+}
+
+// Dir is a directory below Temp.
+func (b *Bubble) Dir(node int) (string, error) {
+	dir := filepath.Join(b.Temp, fmt.Sprint("node-", node))
+	return dir, os.MkdirAll(dir, 0o700)
+}
+
+// Start starts a gateway in this process, on a host of its own.
+func (b *Bubble) Start(node int, hcl []byte) (Node, error) {
+	cfg, err := config.Parse(hcl, fmt.Sprintf("node-%d.hcl", node))
+	if err != nil {
+		return nil, err
+	}
+	b.Seed++
+	host := b.Memory.Host(fmt.Sprint("node-", node))
+	log := slog.New(slog.NewTextHandler(b.Log, &slog.HandlerOptions{Level: cfg.LogLevel})).With("node", node)
+	g, err := gateway.Start(cfg, gateway.Options{Network: host, Log: log, Seed: b.Seed})
+	if err != nil {
+		return nil, err
+	}
+	return &inBubble{g, host}, nil
+}
+
+type inBubble struct {
+	g    *gateway.Gateway
+	host *network.Host
+}
+
+func (n *inBubble) Kill() {
+	n.host.Kill()
+	n.g.Kill()
+}
+
+func (n *inBubble) Stop(d time.Duration) {
+	n.host.Pause()
+	n.g.Stall(d)
+	time.Sleep(d)
+	n.host.Resume()
+}
+
+func (n *inBubble) End() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return n.g.Drain(ctx)
+}
--- /dev/null
+++ b/day/report.go
@@ -0,0 +1,171 @@
+package day
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"yardcleat.example/yardcleat/audit"
+)
+
+// Report is what came of a day.
+type Report struct {
+	Seconds  float64         `json:"seconds"`
+	Tries    int             `json:"tries"`
+	Goodput  float64         `json:"goodput"` // answers within the aim, a second
+	Plans    []Row           `json:"plans"`
+	Fronts   []Row           `json:"fronts"`
+	Classes  []Latency       `json:"classes"`
+	Attempts int             `json:"attempts"` // that reached servers
+	Rules    []audit.Finding `json:"rules"`
+	Errors   []string        `json:"errors"` // of the day itself
+}
+
+// Row counts tries by what came of them.
+type Row struct {
+	Name    string         `json:"name"`
+	Tries   int            `json:"tries"`
+	Served  int            `json:"served"`
+	Refused map[string]int `json:"refused"` // by reason
+	Failed  map[string]int `json:"failed"`
+	None    int            `json:"no_answer"` // the node was killed or stopped, or not reached
+}
+
+// Latency is of the answers served, in milliseconds.
+type Latency struct {
+	Class   string  `json:"class"`
+	Served  int     `json:"served"`
+	InAim   float64 `json:"within_aim"` // share
+	P50     float64 `json:"p50_ms"`
+	P90     float64 `json:"p90_ms"`
+	P99     float64 `json:"p99_ms"`
+	Longest float64 `json:"max_ms"`
+}
+
+// Kept tells whether all rules were kept.
+func (r *Report) Kept() bool {
+	return len(r.Errors) == 0 && !slices.ContainsFunc(r.Rules, func(f audit.Finding) bool { return len(f.Broken) > 0 })
+}
+
+func (d *stage) report() *Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := &Report{Seconds: dur(d.s.Length).Seconds(), Tries: len(d.record.Tried), Attempts: len(d.record.Seen)}
+	plans, fronts := map[string]*Row{}, map[string]*Row{}
+	good := 0
+	for _, c := range d.s.Classes {
+		h := hdrhistogram.New(1, 60_000_000, 3) // microseconds
+		in := 0
+		for _, t := range d.record.Tried {
+			if t.Class != c.Name || t.Answer != "served" {
+				continue
+			}
+			took := t.Answered.Sub(t.Sent)
+			h.RecordValue(max(1, took.Microseconds()))
+			if took <= dur(c.Aim) {
+				in++
+			}
+		}
+		good += in
+		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		n := int(h.TotalCount())
+		r.Classes = append(r.Classes, Latency{c.Name, n, float64(in) / float64(max(1, n)), ms(50), ms(90), ms(99), ms(100)})
+	}
+	for i := range d.record.Tried {
+		t := &d.record.Tried[i]
+		count(plans, t.Plan, t)
+		count(fronts, t.Front, t)
+	}
+	r.Goodput = float64(good) / r.Seconds
+	r.Plans, r.Fronts = rows(plans), rows(fronts)
+	r.Rules = audit.Check(&d.record)
+	for _, err := range d.errs {
+		r.Errors = append(r.Errors, err.Error())
+	}
+	return r
+}
+
+func count(rows map[string]*Row, name string, t *audit.Tried) {
+	row := rows[name]
+	if row == nil {
+		row = &Row{Name: name, Refused: map[string]int{}, Failed: map[string]int{}}
+		rows[name] = row
+	}
+	row.Tries++
+	reason := cmp.Or(t.Reason, fmt.Sprint("status-", t.Status))
+	switch t.Answer {
+	case "served":
+		row.Served++
+	case "refused":
+		row.Refused[reason]++
+	case "failed":
+		row.Failed[reason]++
+	default:
+		row.None++
+	}
+}
+
+func rows(m map[string]*Row) []Row {
+	var out []Row
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, *m[name])
+	}
+	return out
+}
+
+// Write prints the report as tables.
+func (r *Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "%d tries in %.0f s, %d attempts at servers, %.1f answers within their aim a second\n\n",
+		r.Tries, r.Seconds, r.Attempts, r.Goodput)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "plan or front\ttries\tserved\trefused\tfailed\tno answer\treasons")
+	for _, row := range append(slices.Clone(r.Plans), r.Fronts...) {
+		refused, failed, why := 0, 0, ""
+		for _, m := range []map[string]int{row.Refused, row.Failed} {
+			for _, reason := range slices.Sorted(maps.Keys(m)) {
+				why += fmt.Sprintf("%s %d  ", reason, m[reason])
+			}
+		}
+		for _, n := range row.Refused {
+			refused += n
+		}
+		for _, n := range row.Failed {
+			failed += n
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%s\n", row.Name, row.Tries, row.Served, refused, failed, row.None, why)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "class\tserved\twithin aim\tp50\tp90\tp99\tmax")
+	for _, l := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%.1f%%\t%s\t%s\t%s\t%s\n", l.Class, l.Served, 100*l.InAim, ms(l.P50), ms(l.P90), ms(l.P99), ms(l.Longest))
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "rule\tchecked\tbroken\t")
+	for _, f := range r.Rules {
+		fmt.Fprintf(t, "%d %s\t%d\t%d\t\n", f.Rule, f.Name, f.Checked, len(f.Broken))
+	}
+	t.Flush()
+	const most = 10
+	for _, f := range r.Rules {
+		for i, b := range f.Broken {
+			if i == most {
+				fmt.Fprintf(w, "rule %d: and %d more\n", f.Rule, len(f.Broken)-most)
+				break
+			}
+			fmt.Fprintf(w, "rule %d: %s\n", f.Rule, b)
+		}
+	}
+	for _, e := range r.Errors {
+		fmt.Fprintln(w, "error:", e)
+	}
+}
+
+func ms(v float64) string {
+	return time.Duration(v * float64(time.Millisecond)).Round(100 * time.Microsecond).String()
+}
--- /dev/null
+++ b/day/script.go
@@ -0,0 +1,193 @@
+// Package day plays a scripted day of trouble on real nodes: a fleet of
+// gateways, catalogue servers, authoriser, proxies and discovery, with clients
+// on both fronts, and checks the five rules from what passed.
+package day
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsimple"
+)
+
+// Default is the script that is played where none is given.
+//
+//go:embed default.hcl
+var Default []byte
+
+// Script is a day.
+type Script struct {
+	Length    Duration `hcl:"length"`
+	Seed      int      `hcl:"seed,optional"`
+	Nodes     int      `hcl:"nodes"`
+	Mail      float64  `hcl:"mail_per_second,optional"`
+	Servers   Servers  `hcl:"servers,block"`
+	Clients   Clients  `hcl:"clients,block"`
+	Classes   []Class  `hcl:"class,block"`
+	Plans     []Plan   `hcl:"plan,block"`
+	Customers []Crowd  `hcl:"customers,block"`
+	Faults    []Fault  `hcl:"fault,block"`
+}
+
+// Duration is a text such as "250ms".
+type Duration = string
+
+// Servers describes the catalogue servers and what discovery tells of them.
+type Servers struct {
+	Count        int      `hcl:"count"`
+	Cores        int      `hcl:"cores"`
+	Queue        int      `hcl:"queue"`
+	Racks        int      `hcl:"racks"`
+	ColdShare    float64  `hcl:"cold_share"`
+	WarmWithin   Duration `hcl:"warm_within"`
+	FallMultiple float64  `hcl:"fall_multiple"`
+	FallTime     Duration `hcl:"fall_time"`
+	Grace        Duration `hcl:"drain_grace"`
+	Late         Duration `hcl:"told_late"`
+}
+
+// Clients describes how clients behave.
+type Clients struct {
+	Retries int      `hcl:"retries"`
+	Wait    Duration `hcl:"wait"`    // before a retry
+	Proxied float64  `hcl:"proxied"` // share of tries that come by the proxies
+}
+
+// Class is a class of requests with the work it makes.
+type Class struct {
+	Name          string   `hcl:"name,label"`
+	Method        string   `hcl:"method"`
+	Path          string   `hcl:"path"` // a prefix; an id follows
+	Effect        string   `hcl:"effect"`
+	Group         string   `hcl:"group,optional"`
+	Window        Duration `hcl:"window,optional"`
+	Aim           Duration `hcl:"aim"`
+	Deadline      Duration `hcl:"deadline"`
+	Work          Duration `hcl:"work"`
+	Share         float64  `hcl:"share"` // of all requests
+	Units         float64  `hcl:"units,optional"`
+	Authorisation string   `hcl:"authorisation,optional"`
+}
+
+// Plan is a plan's quotas.
+type Plan struct {
+	Name      string  `hcl:"name,label"`
+	Rate      float64 `hcl:"rate"`
+	Burst     float64 `hcl:"burst"`
+	Open      int     `hcl:"open,optional"`
+	HardRate  float64 `hcl:"hard_rate,optional"`
+	HardBurst float64 `hcl:"hard_burst,optional"`
+}
+
+// Crowd is some customers of one plan that ask alike.
+type Crowd struct {
+	Name  string  `hcl:"name,label"`
+	Plan  string  `hcl:"plan"`
+	Count int     `hcl:"count"`
+	Use   float64 `hcl:"use"` // units asked for, as a multiple of the plan's rate
+}
+
+// Fault is one trouble.
+type Fault struct {
+	Kind   string   `hcl:"kind,label"`
+	At     Duration `hcl:"at"`
+	For    Duration `hcl:"for,optional"`
+	Target int      `hcl:"target,optional"` // number of the node or server, from 0
+	Arg    string   `hcl:"arg,optional"`
+}
+
+// kinds of fault, with what their target and argument mean.
+var kinds = map[string]struct {
+	target string // node, server or ""
+	arg    string
+}{
+	"node-kill":         {"node", ""},   // killed outright, started again after "for"
+	"node-stop":         {"node", ""},   // SIGSTOP for "for"
+	"server-drain":      {"server", ""}, // told as draining; ended after "for"
+	"server-vanish":     {"server", ""}, // ended; discovery learns of it after "for"
+	"server-return":     {"server", ""}, // started again, cold
+	"server-hang":       {"server", ""},
+	"server-half-close": {"server", ""},
+	"server-fail":       {"server", "class"},
+	"server-slow":       {"server", "factor"},
+	"peers-lose":        {"", "share"},
+	"authoriser-slow":   {"", "duration"},
+	"authoriser-silent": {"", ""},
+}
+
+// Parse reads a script; the name is for messages.
+func Parse(src []byte, name string) (*Script, error) {
+	s := &Script{Seed: 1, Mail: 200}
+	if err := hclsimple.Decode(name, src, nil, s); err != nil {
+		var diags hcl.Diagnostics
+		if errors.As(err, &diags) {
+			return nil, errors.Join(diags.Errs()...)
+		}
+		return nil, err
+	}
+	return s, s.check(name)
+}
+
+func (s *Script) check(name string) error {
+	var errs []error
+	wrong := func(format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s: "+format, append([]any{name}, args...)...))
+	}
+	durations := map[string]string{"length": s.Length, "warm_within": s.Servers.WarmWithin, "fall_time": s.Servers.FallTime,
+		"drain_grace": s.Servers.Grace, "told_late": s.Servers.Late, "wait": s.Clients.Wait}
+	for i, f := range s.Faults {
+		k, known := kinds[f.Kind]
+		if !known {
+			wrong("fault %q is unknown", f.Kind)
+		}
+		durations[fmt.Sprintf("fault %d %q: at", i, f.Kind)] = f.At
+		durations[fmt.Sprintf("fault %d %q: for", i, f.Kind)] = f.For
+		if n := map[string]int{"node": s.Nodes, "server": s.Servers.Count, "": 1}[k.target]; f.Target < 0 || f.Target >= n {
+			wrong("fault %q: target %d; the %ss are numbered 0 to %d", f.Kind, f.Target, k.target, n-1)
+		}
+		switch k.arg {
+		case "factor", "share":
+			if _, err := strconv.ParseFloat(f.Arg, 64); err != nil {
+				wrong("fault %q: arg %q is not a number", f.Kind, f.Arg)
+			}
+		case "duration":
+			durations[fmt.Sprintf("fault %d %q: arg", i, f.Kind)] = f.Arg
+		case "class":
+			if !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == f.Arg }) {
+				wrong("fault %q: there is no class %q", f.Kind, f.Arg)
+			}
+		}
+	}
+	for _, c := range s.Classes {
+		durations["class "+c.Name+": aim"], durations["class "+c.Name+": deadline"] = c.Aim, c.Deadline
+		durations["class "+c.Name+": work"] = c.Work
+		if c.Window != "" {
+			durations["class "+c.Name+": window"] = c.Window
+		}
+	}
+	for _, c := range s.Customers {
+		if !slices.ContainsFunc(s.Plans, func(p Plan) bool { return p.Name == c.Plan }) {
+			wrong("customers %q: there is no plan %q", c.Name, c.Plan)
+		}
+	}
+	if s.Nodes < 1 || s.Servers.Count < 1 || s.Servers.Racks < 1 || len(s.Classes) == 0 || len(s.Customers) == 0 {
+		wrong("at least one node, server, rack, class and group of customers is needed")
+	}
+	for what, d := range durations {
+		if _, err := time.ParseDuration(d); err != nil && d != "" {
+			wrong("%s: %q is not a duration such as \"250ms\"", what, d)
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// dur reads a duration that was checked; "" is 0.
+func dur(d Duration) time.Duration {
+	v, _ := time.ParseDuration(d)
+	return v
+}
--- a/front/http1/left.go
+++ b/front/http1/left.go
@@ -7,8 +7,11 @@
 
 // left tells whether the client has closed the connection already. Guards
 // against work for requests that lay in the socket while the process stood
-// still: their clients may have given up. On what is not a TCP socket it is false.
+// still: their clients may have given up. On what can't tell it is false.
 func left(nc net.Conn) bool {
+	if c, ok := nc.(interface{ Left() bool }); ok {
+		return c.Left()
+	}
 	tc, ok := nc.(*net.TCPConn)
 	if !ok {
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,6 +217,9 @@
 	return err
 }
 
+// Stall holds the node's loop up for a time; for tests.
+func (g *Gateway) Stall(d time.Duration) { g.node.Stall(d) }
+
 // Kill stops at once: what is held is failed.
 func (g *Gateway) Kill() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -232,6 +232,9 @@
 // the call could not be read.
 func (in *Intake) Render(t *node.Try, a node.Answer) *node.Response {
 	if a.Response != nil {
+		if a.Kind == node.Served {
+			return a.Response
+		}
 		if a.Reason != node.None {
 			a.Response.Header.Set(fieldReason, string(a.Reason))
 		}
@@ -258,6 +261,9 @@
 	}
 	res.Status = p.Status
 	res.Header.Add("Content-Type", "application/problem+json")
+	if t != nil {
+		res.Header.Add(fieldTrace, t.Trace)
+	}
 	res.Header.Add(fieldReason, string(a.Reason))
 	body, err := json.Marshal(p)
 	if err != nil {
--- a/internal/network/memory.go
+++ b/internal/network/memory.go
@@ -51,6 +51,36 @@
 	mu   sync.Mutex
 	open map[io.Closer]bool
 	dead bool
+	stop chan struct{} // while paused; closed at Resume
+}
+
+// Pause holds up all that the host reads, writes, dials and accepts, as a
+// stopped process does; what others send it waits.
+func (h *Host) Pause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stop == nil {
+		h.stop = make(chan struct{})
+	}
+}
+
+// Resume lets a paused host go on.
+func (h *Host) Resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stop != nil {
+		close(h.stop)
+		h.stop = nil
+	}
+}
+
+func (h *Host) running() {
+	h.mu.Lock()
+	stop := h.stop
+	h.mu.Unlock()
+	if stop != nil {
+		<-stop
+	}
 }
 
 var errDead = errors.New("network: host is dead")
@@ -121,6 +151,7 @@
 
 // Dial connects; the error is ECONNREFUSED where nobody listens.
 func (h *Host) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	h.running()
 	select {
 	case <-time.After(h.m.delay):
 	case <-ctx.Done():
@@ -170,6 +201,7 @@
 func (l *memListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
+		l.h.running()
 		return c, nil
 	case <-l.done:
 		return nil, net.ErrClosed
@@ -340,10 +372,26 @@
 	local, remote memAddr
 }
 
-func (c *memConn) Read(b []byte) (int, error)  { return c.rx.read(b) }
-func (c *memConn) Write(b []byte) (int, error) { return c.tx.write(b) }
-func (c *memConn) LocalAddr() net.Addr         { return c.local }
-func (c *memConn) RemoteAddr() net.Addr        { return c.remote }
+func (c *memConn) LocalAddr() net.Addr  { return c.local }
+func (c *memConn) RemoteAddr() net.Addr { return c.remote }
+
+func (c *memConn) Read(b []byte) (int, error) {
+	n, err := c.rx.read(b)
+	c.h.running()
+	return n, err
+}
+
+func (c *memConn) Write(b []byte) (int, error) {
+	c.h.running()
+	return c.tx.write(b)
+}
+
+// Left tells whether the other end has closed or reset the connection.
+func (c *memConn) Left() bool {
+	c.rx.mu.Lock()
+	defer c.rx.mu.Unlock()
+	return c.rx.err != nil || c.rx.eof && !time.Now().Before(c.rx.eofAt)
+}
 
 func (c *memConn) SetDeadline(t time.Time) error {
 	c.rx.setDeadline(reading, t)
@@ -426,6 +474,7 @@
 func (p *memPacketConn) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case m := <-p.in:
+		p.h.running()
 		return copy(b, m.data), m.from, nil
 	case <-p.done:
 		return 0, nil, net.ErrClosed
@@ -433,6 +482,7 @@
 }
 
 func (p *memPacketConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	p.h.running()
 	m := p.h.m
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -216,6 +216,9 @@
 	})
 }
 
+// Stall holds the loop up for a time, as a stopped process is; for tests.
+func (n *Node) Stall(d time.Duration) { n.post(func() { time.Sleep(d) }) }
+
 // Drain lets no more tries in and waits until all are answered, or the context
 // ends.
 func (n *Node) Drain(ctx context.Context) error {
--- a/standin/catalogue/catalogue.go
+++ b/standin/catalogue/catalogue.go
@@ -3,12 +3,14 @@
 package catalogue
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yardcleat.example/yardcleat/audit"
@@ -187,15 +189,22 @@
 	}
 	seen := audit.Seen{Trace: r.Header.Get("X-Request-Id"), Server: s.o.Name, Rack: s.o.Rack.Name, Class: c.Name,
 		Key: r.Header.Get("Idempotency-Key"), At: time.Now()}
+	w.Header().Set("X-Request-Id", seen.Trace)
+	var cut atomic.Int64 // when its connection ended
+	stop := context.AfterFunc(r.Context(), func() { cut.Store(time.Now().UnixNano()) })
 	defer func() {
+		stop()
 		seen.End = time.Now()
+		if at := cut.Load(); at != 0 {
+			seen.End = time.Unix(0, at)
+		}
 		if s.o.Record != nil {
 			s.o.Record(seen)
 		}
 	}()
 	s.mu.Lock()
 	s.offer(seen.At, c.Work)
-	hang, cut, slow, fails, freed := s.hang, s.cut, s.slow, s.fails, s.freed
+	hang, half, slow, fails, freed := s.hang, s.cut, s.slow, s.fails, s.freed
 	full := s.waiting >= s.o.Queue+s.o.Cores
 	if !full {
 		s.waiting++
@@ -238,7 +247,7 @@
 		seen.Ran = true
 		time.Sleep(time.Duration(float64(c.Work) * slow / s.share(time.Now())))
 	}
-	if cut {
+	if half {
 		s.halfClose(w)
 		return
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -46,6 +46,7 @@
 	over  bool // it has ended, or was cancelled
 	c     *conn
 	dial  context.CancelFunc
+	start time.Time
 	wrote bool // the whole request has left
 	keep  bool // it ended well before that
 }
@@ -53,7 +54,7 @@
 // Start makes an attempt; see node.Upstream.
 func (p *Pool) Start(a node.Attempt, done func(node.Result)) (cancel func()) {
 	ctx, stop := context.WithTimeout(context.Background(), p.o.ConnectTime)
-	t := &attempt{Attempt: a, p: p, done: done, dial: stop}
+	t := &attempt{Attempt: a, p: p, done: done, dial: stop, start: time.Now()}
 	go t.run(ctx)
 	return t.cancel
 }
@@ -117,6 +118,12 @@
 		}
 		t.c = c
 		t.mu.Unlock()
+		if t.Timeout > 0 && time.Since(t.start) >= t.Timeout {
+			// The process stood still in between; the node is about to give it up.
+			t.end(node.Result{Code: policy.Moot, Detail: "too late to send"}, true)
+			t.written()
+			return
+		}
 		n, assigned := 0, c.assign(t)
 		if err = net.ErrClosed; assigned {
 			n, err = c.nc.Write(buf)
