--- a/day/day_test.go
+++ b/day/day_test.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"testing"
@@ -8,10 +9,12 @@
 	"time"
 
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
 )
 
 // inBubble plays a script in virtual time.
-func playInBubble(t *testing.T, src []byte) *Report {
+func playInBubble(t *testing.T, src []byte, defect func(*Bubble)) *Report {
 	t.Helper()
 	s, err := Parse(src, "test.hcl")
 	if err != nil {
@@ -20,6 +23,9 @@
 	var r *Report
 	synctest.Test(t, func(t *testing.T) {
 		env := &Bubble{Memory: network.NewMemory(time.Millisecond, 1), Temp: t.TempDir(), Log: io.Discard, Seed: 1}
+		if defect != nil {
+			defect(env)
+		}
 		if r, err = Run(context.Background(), s, Options{Env: env}); err != nil {
 			t.Fatal(err)
 		}
@@ -30,7 +36,7 @@
 
 // The whole bad day keeps all rules, in virtual time.
 func TestDefaultDay(t *testing.T) {
-	r := playInBubble(t, Default)
+	r := playInBubble(t, Default, nil)
 	if !r.Kept() {
 		r.Write(t.Output())
 		t.Error("a rule was broken")
@@ -48,3 +54,84 @@
 		t.Errorf("%d served of %d tries", served, r.Tries)
 	}
 }
+
+// coldDay has few servers, all busy, one of which returns very cold.
+var coldDay = func() []byte {
+	b := bytes.Clone(Default[:bytes.Index(Default, []byte("fault "))+len("fault")])
+	for _, e := range [][2]string{{`"30s"`, `"10s"`}, {"count         = 10", "count         = 3"}, {"cold_share    = 0.21", "cold_share    = 0.05"},
+		{`told_late     = "400ms"`, `told_late     = "50ms"`},
+		{"cores         = 2", "cores         = 4"}, {"queue         = 16", "queue         = 40"}} {
+		if !bytes.Contains(b, []byte(e[0])) {
+			panic(e[0] + " does not stand in the default script")
+		}
+		b = bytes.Replace(b, []byte(e[0]), []byte(e[1]), 1)
+	}
+	return append(b, []byte(` "server-drain" {
+  at     = "1s"
+  for    = "1s"
+  target = 2
+}
+fault "server-return" {
+  at     = "5s"
+  target = 2
+}
+`)...)
+}()
+
+func TestColdDay(t *testing.T) {
+	if r := playInBubble(t, coldDay, nil); !r.Kept() {
+		r.Write(t.Output())
+		t.Error("a rule was broken")
+	}
+}
+
+// With one defence taken out of the nodes, the audit finds its rule broken.
+func TestDefects(t *testing.T) {
+	edit := func(old, new string) func(*Bubble) {
+		return func(b *Bubble) {
+			b.Edit = func(cfg []byte) []byte {
+				out := bytes.ReplaceAll(cfg, []byte(old), []byte(new))
+				if bytes.Equal(out, cfg) {
+					t.Errorf("%q does not stand in the configuration", old)
+				}
+				return out
+			}
+		}
+	}
+	for _, c := range []struct {
+		rule   int
+		what   string
+		defect func(*Bubble)
+		script []byte
+	}{
+		{1, "the client's patience is not read",
+			edit("clients {", "clients {\n patience_header = \"x-none\""), Default},
+		{2, "keyed requests are taken for safe", edit(`effect = "keyed"`, `effect = "safe"`), Default},
+		{3, "drains are not heard of", func(b *Bubble) {
+			b.Deafen = func(list []node.Server) []node.Server {
+				for i := range list {
+					list[i].State = policy.Running
+				}
+				return list
+			}
+		}, Default},
+		{4, "cold servers are taken for warm", func(b *Bubble) {
+			b.Deafen = func(list []node.Server) []node.Server {
+				for i := range list {
+					list[i].Started = time.Time{}
+				}
+				return list
+			}
+		}, coldDay},
+		{5, "neither quota nor ceiling is known", edit("rate = 8\n  burst = 16\n  open = 6\n  hard_rate = 14\n  hard_burst = 24",
+			"rate = 100\n  burst = 100\n  open = 0"), Default},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			r := playInBubble(t, c.script, c.defect)
+			if len(r.Rules[c.rule-1].Broken) == 0 {
+				r.Write(t.Output())
+				t.Errorf("rule %d was not found broken", c.rule)
+			}
+		})
+	}
+}
--- a/day/default.hcl
+++ b/day/default.hcl
@@ -11,7 +11,7 @@
   racks         = 2
   cold_share    = 0.21
   warm_within   = "8s"
-  fall_multiple = 3
+  fall_multiple = 1.5
   fall_time     = "1s"
   drain_grace   = "250ms"
   told_late     = "400ms"
@@ -96,7 +96,7 @@
 
 customers "county" {
   plan  = "county"
-  count = 2
+  count = 5
   use   = 0.8
 }
 
--- a/day/env.go
+++ b/day/env.go
@@ -15,6 +15,7 @@
 	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/gateway"
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
 )
 
 // Env is where a day is played.
@@ -122,6 +123,11 @@
 	Log    io.Writer
 	Seed   uint64
 	hosts  int
+
+	// Defects, to see the audit find them: Edit changes a node's configuration,
+	// Deafen what it hears of the server list.
+	Edit   func([]byte) []byte
+	Deafen func([]node.Server) []node.Server
 }
 
 // Network is a host of the memory network.
@@ -143,15 +149,18 @@
 }
 
 // Start starts a gateway in this process, on a host of its own.
-func (b *Bubble) Start(node int, hcl []byte) (Node, error) {
-	cfg, err := config.Parse(hcl, fmt.Sprintf("node-%d.hcl", node))
+func (b *Bubble) Start(number int, hcl []byte) (Node, error) {
+	if b.Edit != nil {
+		hcl = b.Edit(hcl)
+	}
+	cfg, err := config.Parse(hcl, fmt.Sprintf("node-%d.hcl", number))
 	if err != nil {
 		return nil, err
 	}
 	b.Seed++
-	host := b.Memory.Host(fmt.Sprint("node-", node))
-	log := slog.New(slog.NewTextHandler(b.Log, &slog.HandlerOptions{Level: cfg.LogLevel})).With("node", node)
-	g, err := gateway.Start(cfg, gateway.Options{Network: host, Log: log, Seed: b.Seed})
+	host := b.Memory.Host(fmt.Sprint("node-", number))
+	log := slog.New(slog.NewTextHandler(b.Log, &slog.HandlerOptions{Level: cfg.LogLevel})).With("node", number)
+	g, err := gateway.Start(cfg, gateway.Options{Network: host, Log: log, Seed: b.Seed, Deafen: b.Deafen})
 	if err != nil {
 		return nil, err
 	}
--- a/day/run.go
+++ b/day/run.go
@@ -497,7 +497,9 @@
 log { format = "json" }
 listener "http" "desks" { address = "{{.HTTP}}" }
 listener "ext_authz" "proxies" { address = "{{.ExtAuthz}}" }
-clients { max_retry_after = "1s" }
+clients {
+  max_retry_after = "1s"
+}
 {{range .S.Classes}}
 class "{{.Name}}" {
   effect = "{{.Effect}}"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,9 @@
 	Network network.Network
 	Log     *slog.Logger
 	Seed    uint64 // of the module's chance; 0: drawn
+	// Deafen changes what the module hears of the server list; for tests. nil:
+	// nothing.
+	Deafen func([]node.Server) []node.Server
 }
 
 // Gateway is a running node with all that is around it.
@@ -130,11 +133,11 @@
 		if err != nil {
 			return err
 		}
-		g.node.Members(policy.Whole, list)
+		g.members(policy.Whole, list)
 		return nil
 	}
 	o := fleet.Options{Network: g.o.Network, Address: s.EDSAddress, Cluster: s.EDSCluster,
-		NodeID: fmt.Sprintf("node-%d", g.cfg.Number), Log: g.o.Log, Deliver: g.node.Members}
+		NodeID: fmt.Sprintf("node-%d", g.cfg.Number), Log: g.o.Log, Deliver: g.members}
 	if g.cfg.StateDir != "" {
 		o.File = filepath.Join(g.cfg.StateDir, "servers")
 	}
@@ -147,6 +150,13 @@
 	return nil
 }
 
+func (g *Gateway) members(kind policy.MembersKind, list []node.Server) {
+	if g.o.Deafen != nil {
+		list = g.o.Deafen(list)
+	}
+	g.node.Members(kind, list)
+}
+
 func (g *Gateway) limits(body int64) http1.Limits {
 	l := g.cfg.Limits
 	return http1.Limits{Line: l.Line, Fields: l.Fields, Header: l.Header, Body: body}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -250,7 +250,7 @@
 func (c *conn) assign(t *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bad || c.r.Buffered() > 0 {
+	if c.bad {
 		return false // the server ended it, or spoke unasked
 	}
 	c.t = t
