--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,6 +31,7 @@
 	node    *Gateway
 	client  *http.Client
 	host    *network.Host
+	closes  []func()
 
 	mu   sync.Mutex
 	seen []audit.Seen
@@ -135,6 +136,9 @@
 		f(w)
 		w.client.CloseIdleConnections()
 		w.node.Kill()
+		for _, c := range w.closes {
+			c()
+		}
 		for _, s := range w.servers {
 			s.Kill()
 		}
--- /dev/null
+++ b/gateway/hard_test.go
@@ -0,0 +1,507 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/fleet"
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// raw puts a scripted server in the place of both catalogue servers. handle
+// gets each request's connection and its number, counted over both, from 1; the
+// request was read whole but for its body.
+func (w *world) raw(handle func(c net.Conn, r *http.Request, n int)) (requests *atomic.Int32) {
+	requests = &atomic.Int32{}
+	synctest.Wait() // the servers have started
+	for i, s := range w.servers {
+		s.Kill()
+		l := w.listen(fmt.Sprintf("10.0.1.%d:80", i+1))
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					br := bufio.NewReader(c)
+					for {
+						req, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						handle(c, req, int(requests.Add(1)))
+					}
+				}()
+			}
+		}()
+		w.closes = append(w.closes, func() { l.Close() })
+	}
+	return requests
+}
+
+func ok(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") }
+
+// How a server ends an attempt decides, with the class, whether it goes again.
+func TestEndsOfAttempts(t *testing.T) {
+	ends := map[string]func(c net.Conn, r *http.Request){
+		"reset":       func(c net.Conn, _ *http.Request) { c.(interface{ Reset() }).Reset() },
+		"closed":      func(c net.Conn, _ *http.Request) { c.Close() },
+		"half-closed": func(c net.Conn, _ *http.Request) { c.(interface{ CloseWrite() error }).CloseWrite() },
+		"cut in the body": func(c net.Conn, _ *http.Request) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+			c.Close()
+		},
+		"cut in the head":  func(c net.Conn, _ *http.Request) { io.WriteString(c, "HTTP/1.1 200 OK\r\nConte"); c.Close() },
+		"not HTTP":         func(c net.Conn, _ *http.Request) { io.WriteString(c, "hello\r\n"); c.Close() },
+		"status 500":       func(c net.Conn, _ *http.Request) { io.WriteString(c, "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n") },
+		"plain status 503": func(c net.Conn, _ *http.Request) { io.WriteString(c, "HTTP/1.1 503 Oh\r\nContent-Length: 0\r\n\r\n") },
+	}
+	for name, end := range ends {
+		for _, c := range []struct {
+			method, path string
+			again        bool // may be sent again to the other server, of another cell
+		}{{"GET", "/records/1", true}, {"POST", "/loans/1", false}, {"POST", "/notes/1", false}} {
+			t.Run(name+" "+c.path, func(t *testing.T) {
+				inWorld(t, "", func(w *world) {
+					n := w.raw(func(c net.Conn, r *http.Request, n int) {
+						if n == 1 {
+							end(c, r)
+							return
+						}
+						ok(c)
+					})
+					g := w.do(c.method, c.path, "k-school", "Idempotency-Key", "k")
+					want, sent := 502, int32(1)
+					if c.again {
+						want, sent = 200, 2
+					}
+					if g.status != want || n.Load() != sent {
+						t.Errorf("status %d after %d attempts, want %d after %d: %s", g.status, n.Load(), want, sent, g.body)
+					}
+					if want == 502 && g.header.Get("Retry-After") != "" {
+						t.Error("a failure gives advice to retry")
+					}
+				})
+			})
+		}
+	}
+}
+
+// What proves that nothing ran lets any class go again.
+func TestNeverRan(t *testing.T) {
+	for _, path := range []string{"/loans/1", "/notes/1"} {
+		t.Run("turned away "+path, func(t *testing.T) {
+			inWorld(t, "", func(w *world) {
+				n := w.raw(func(c net.Conn, r *http.Request, n int) {
+					if n == 1 {
+						io.WriteString(c, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+						return
+					}
+					ok(c)
+				})
+				if g := w.do("POST", path, "k-school", "Idempotency-Key", "k"); g.status != 200 || n.Load() != 2 {
+					t.Errorf("status %d after %d attempts", g.status, n.Load())
+				}
+			})
+		})
+		t.Run("not connected "+path, func(t *testing.T) {
+			inWorld(t, "", func(w *world) {
+				w.servers[0].Kill()
+				for i := range 6 {
+					if g := w.do("POST", path, "k-school", "Idempotency-Key", fmt.Sprint(i)); g.status != 200 {
+						t.Errorf("%+v", g)
+					}
+				}
+			})
+		})
+	}
+}
+
+// A server closes a kept connection just as a request goes out on it: with
+// bytes sent it may have run, and is not sent again. Closed before a byte was
+// sent, the same attempt goes on a new connection.
+func TestKeepAliveRace(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		n := w.raw(func(c net.Conn, r *http.Request, n int) {
+			switch n {
+			case 1, 2:
+				ok(c)
+			case 3:
+				c.Close() // the request was on its way
+			default:
+				ok(c)
+			}
+		})
+		for i := range 2 {
+			if g := w.do("POST", "/notes/1", "k-school"); g.status != 200 {
+				t.Fatalf("%d: %+v", i, g)
+			}
+		}
+		if g := w.do("POST", "/notes/1", "k-school"); g.status != 502 || g.header.Get("X-Yardcleat-Reason") != "server-gone" {
+			t.Errorf("%+v", g)
+		}
+		if n.Load() != 3 {
+			t.Errorf("%d attempts, want 3", n.Load())
+		}
+	})
+	inWorld(t, "", func(w *world) {
+		n := w.raw(func(c net.Conn, r *http.Request, n int) {
+			ok(c)
+			c.Close() // idle connections don't last
+		})
+		for i := range 6 {
+			if g := w.do("POST", "/notes/1", "k-school"); g.status != 200 {
+				t.Fatalf("%d: %+v", i, g)
+			}
+		}
+		if n.Load() != 6 {
+			t.Errorf("%d attempts, want 6", n.Load())
+		}
+	})
+}
+
+// An answer that comes after the time-out is nobody's: the next request on the
+// client's connection gets its own.
+func TestLateAnswer(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		w.raw(func(c net.Conn, r *http.Request, n int) {
+			if n == 1 {
+				time.Sleep(time.Second)
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+				return
+			}
+			ok(c)
+		})
+		g := w.do("POST", "/notes/1", "k-school", "X-Envoy-Expected-Rq-Timeout-Ms", "300")
+		if g.status != 504 || g.header.Get("X-Yardcleat-Reason") != "server-late" || g.took > 300*time.Millisecond {
+			t.Errorf("%+v", g)
+		}
+		time.Sleep(2 * time.Second)
+		if g := w.do("POST", "/notes/2", "k-school"); g.body != "ok" {
+			t.Errorf("%+v", g)
+		}
+	})
+}
+
+// A server may answer before it has read the body.
+func TestAnswerBeforeBody(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		w.raw(func(c net.Conn, r *http.Request, n int) {
+			ok(c)
+			time.Sleep(10 * time.Second) // and never reads it
+			c.Close()
+		})
+		res, err := w.client.Do(w.request("POST", "/notes/1", "k-school", strings.NewReader(strings.Repeat("x", 500_000))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		if b, _ := io.ReadAll(res.Body); res.StatusCode != 200 || string(b) != "ok" {
+			t.Errorf("status %d, %q", res.StatusCode, b)
+		}
+	})
+}
+
+func (w *world) request(method, path, key string, body io.Reader) *http.Request {
+	req, err := http.NewRequest(method, "http://10.0.0.1:80"+path, body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Header.Set("X-Api-Key", key)
+	req.Header.Set("Idempotency-Key", "k")
+	return req
+}
+
+// A client leaves, or its time runs out, while its request waits for the
+// authoriser, in the queue, or with an attempt out. Whoever still waits has an
+// answer by then; nothing is sent for those that left, and nothing stays held.
+func TestClientsEnd(t *testing.T) {
+	points := map[string]func(w *world){
+		"at the authoriser": func(w *world) { w.auth.Do("silent", "") },
+		"attempt out":       func(w *world) { w.faults("hang", "") },
+		"in the queue": func(w *world) {
+			w.faults("hang", "")
+			for range 12 { // both servers have all they may
+				go w.do("GET", "/records/1", "k-school")
+			}
+			time.Sleep(5 * time.Millisecond)
+		},
+	}
+	for name, set := range points {
+		t.Run(name+", time runs out", func(t *testing.T) {
+			inWorld(t, "", func(w *world) {
+				set(w)
+				const patience = 300 * time.Millisecond
+				g := w.do("POST", "/loans/1", "k-school", "Idempotency-Key", "k", "X-Envoy-Expected-Rq-Timeout-Ms", "300")
+				if g.status != 503 && g.status != 504 && g.status != 429 || g.took > patience {
+					t.Errorf("%+v", g)
+				}
+				w.quiet()
+			})
+		})
+		t.Run(name+", client leaves", func(t *testing.T) {
+			inWorld(t, "", func(w *world) {
+				set(w)
+				ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+				defer cancel()
+				if res, err := w.client.Do(w.request("POST", "/loans/1", "k-school", nil).WithContext(ctx)); err == nil {
+					t.Errorf("status %d", res.StatusCode)
+				}
+				left := time.Now()
+				time.Sleep(20 * time.Millisecond)
+				w.faults("ok", "")
+				w.auth.Do("ok", "")
+				time.Sleep(5 * time.Second)
+				for _, s := range w.arrived() {
+					if s.Class == "loan-change" && s.At.Sub(left) > 3*time.Millisecond {
+						t.Errorf("sent after its client left: %+v", s)
+					}
+				}
+				w.quiet()
+			})
+		})
+	}
+}
+
+// quiet checks that nothing is held any more.
+func (w *world) quiet() {
+	w.t.Helper()
+	time.Sleep(5 * time.Second)
+	if n := w.node.node.Open(); n != 0 {
+		w.t.Errorf("%d requests are still open", n)
+	}
+}
+
+// rawClient sends bytes and returns what comes back until the end.
+func (w *world) rawClient(parts ...string) string {
+	c, err := w.host.Dial(context.Background(), "10.0.0.1:80")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	for i, p := range parts {
+		if i > 0 {
+			time.Sleep(time.Second)
+		}
+		if _, err := io.WriteString(c, p); err != nil {
+			break
+		}
+	}
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	b, _ := io.ReadAll(c)
+	return string(b)
+}
+
+// Slow and endless senders are cut off in time; others are served meanwhile.
+func TestSlowSenders(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		done := make(chan struct{})
+		const key = "X-Api-Key: k-school\r\n"
+		slow := map[string][]string{
+			"header by the byte": strings.Split("GET /records/1 HTTP/1.1", ""),
+			"endless header":     append([]string{"GET / HTTP/1.1\r\n"}, strings.Split(strings.Repeat("X: y\r\n,", 30), ",")...),
+			"body that stops":    {"POST /notes/1 HTTP/1.1\r\nHost: h\r\n" + key + "Content-Length: 100\r\n\r\nabc"},
+			"nothing":            {""},
+		}
+		for name, parts := range slow {
+			go func() {
+				got := w.rawClient(parts...)
+				if name != "nothing" && !strings.HasPrefix(got, "HTTP/1.1 408 ") {
+					t.Errorf("%s: %q", name, got)
+				}
+				done <- struct{}{}
+			}()
+		}
+		for range 10 {
+			if g := w.do("GET", "/records/1", "k-school"); g.status != 200 {
+				t.Errorf("%+v", g)
+			}
+			time.Sleep(time.Second)
+		}
+		for range slow {
+			<-done
+		}
+		if n := len(w.arrived()); n != 10 {
+			t.Errorf("%d attempts, want 10", n)
+		}
+	})
+}
+
+// Pipelined requests are answered in order; 100-continue comes before a body.
+func TestPipelineAndContinue(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		one := "GET /records/%d HTTP/1.1\r\nHost: h\r\nX-Api-Key: k-school\r\nX-Request-Id: r%d\r\n\r\n"
+		var in string
+		for i := range 5 {
+			in += fmt.Sprintf(one, i, i)
+		}
+		got := w.rawClient(in + "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		at := 0
+		for i := range 5 {
+			k := strings.Index(got[at:], fmt.Sprintf("X-Request-Id: r%d\r\n", i))
+			if k < 0 {
+				t.Fatalf("answer %d is not there, or not in its place: %q", i, got)
+			}
+			at += k
+		}
+		if !strings.Contains(got[at:], "HTTP/1.1 401 ") || strings.Count(got, "HTTP/1.1 ") != 6 {
+			t.Errorf("%q", got)
+		}
+		got = w.rawClient("POST /notes/1 HTTP/1.1\r\nHost: h\r\nX-Api-Key: k-school\r\nExpect: 100-continue\r\n"+
+			"Content-Length: 3\r\nConnection: close\r\n\r\n", "abc")
+		if !strings.HasPrefix(got, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 ") {
+			t.Errorf("%q", got)
+		}
+	})
+}
+
+// A drain ends what is held, refuses what is new, and leaves nothing behind.
+func TestDrain(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		done := make(chan got, 3)
+		for range 3 {
+			go func() { done <- w.do("GET", "/records/1", "k-school") }()
+		}
+		time.Sleep(10 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := w.node.Drain(ctx); err != nil {
+			t.Error(err)
+		}
+		for range 3 {
+			if g := <-done; g.status != 200 {
+				t.Errorf("%+v", g)
+			}
+		}
+		if g := w.do("GET", "/records/1", "k-school"); g.status != -1 {
+			t.Errorf("after the drain: %+v", g)
+		}
+	})
+}
+
+// A panic in a decision fails what is held and is logged; the node goes on.
+func TestPanic(t *testing.T) {
+	var log bytes.Buffer
+	synctest.Test(t, func(t *testing.T) {
+		n, err := node.New(node.Options{Settings: policy.Settings{Gateways: 1, Resolution: time.Millisecond,
+			Plans:   []policy.Plan{{Name: "p"}},
+			Classes: []policy.Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}},
+			Log: slog.New(slog.NewTextHandler(&log, nil)), Most: 10, Tell: func(int, []byte) {}, Upstream: silent{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { n.Run(ctx); close(ended) }()
+		n.Members(policy.Whole, []node.Server{{Address: "a", Server: policy.Server{ID: 1, Weight: 1}}})
+		answers := make(chan node.Answer, 10)
+		try := func() *node.Try {
+			return &node.Try{Class: "c", Customer: "x", Plan: "p", Units: 1, Spread: 1, Patience: time.Second}
+		}
+		n.Take(try(), func(a node.Answer) { answers <- a })
+		synctest.Wait()
+		n.Break()
+		if a := <-answers; a.Kind != node.Failed || a.Reason != node.Internal {
+			t.Errorf("%+v", a)
+		}
+		n.Take(try(), func(a node.Answer) { answers <- a })
+		time.Sleep(100 * time.Millisecond)
+		if n.Open() != 1 {
+			t.Error("the node does not go on")
+		}
+		cancel()
+		<-ended
+		if a := <-answers; a.Kind != node.Failed {
+			t.Errorf("%+v", a)
+		}
+	})
+	if !strings.Contains(log.String(), "panic in a decision") {
+		t.Error("not logged")
+	}
+}
+
+// silent is an upstream that takes attempts and never ends them.
+type silent struct{}
+
+func (silent) Start(node.Attempt, func(node.Result)) func() { return func() {} }
+
+// A node restarted with its last list, which is stale: one server in it is
+// gone, the other drains. Requests end in time, and the new list counts at once.
+func TestStaleList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := network.NewMemory(time.Millisecond, 1)
+		dir := t.TempDir()
+		gone := node.Server{Address: "10.0.1.9:80", Server: policy.Server{ID: fleet.ID("10.0.1.9:80"), Weight: 1}}
+		if err := fleet.Remember(filepath.Join(dir, "servers"), []node.Server{gone}); err != nil {
+			t.Fatal(err)
+		}
+		src := worldConfig[:strings.Index(worldConfig, "servers {")] + `servers {
+  eds {
+    address = "10.0.3.1:80"
+    cluster = "c"
+  }
+}
+node { state_dir = "` + dir + `" }`
+		src = strings.ReplaceAll(src, "authorisation = \"refuse\"", "")
+		cfg, err := config.Parse([]byte(src), "x.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g, err := Start(cfg, Options{Network: mem.Host("node"), Log: slog.New(slog.DiscardHandler), Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		host := mem.Host("client")
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return host.Dial(ctx, addr) }}}
+		req, _ := http.NewRequest("GET", "http://10.0.0.1:80/records/1", nil)
+		req.Header.Set("X-Api-Key", "k-school")
+		start := time.Now()
+		res, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != 503 || time.Since(start) > 3*time.Second {
+			t.Errorf("status %d after %v", res.StatusCode, time.Since(start))
+		}
+		g.Kill()
+		time.Sleep(time.Minute)
+	})
+	// A torn file is left aside.
+	path := filepath.Join(t.TempDir(), "servers")
+	if err := fleet.Remember(path, []node.Server{{Address: "10.0.1.9:80", Server: policy.Server{ID: 1, Weight: 1}}}); err != nil {
+		t.Fatal(err)
+	}
+	whole, _ := os.ReadFile(path)
+	for i := range whole {
+		os.WriteFile(path, whole[:i], 0o600)
+		if list, err := fleet.Recall(path); err == nil || list != nil {
+			t.Fatalf("cut at %d: %v, %v", i, list, err)
+		}
+		flipped := bytes.Clone(whole)
+		flipped[i] ^= 1
+		os.WriteFile(path, flipped, 0o600)
+		if list, err := fleet.Recall(path); err == nil && (len(list) != 1 || list[0].Address != "10.0.1.9:80") {
+			t.Fatalf("flipped at %d: %v", i, list)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -219,6 +219,9 @@
 // Stall holds the loop up for a time, as a stopped process is; for tests.
 func (n *Node) Stall(d time.Duration) { n.post(func() { time.Sleep(d) }) }
 
+// Break makes the module panic at its next event; for tests.
+func (n *Node) Break() { n.post(func() { n.gw = nil; n.feed(policy.Timer{}) }) }
+
 // Drain lets no more tries in and waits until all are answered, or the context
 // ends.
 func (n *Node) Drain(ctx context.Context) error {
