--- /dev/null
+++ b/front/fronts_test.go
@@ -0,0 +1,372 @@
+// Package front_test holds the fronts to one table: the same request gets the
+// same answer, status, fields and reason by any protocol.
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	datav3 "github.com/envoyproxy/go-control-plane/envoy/data/accesslog/v3"
+	alsv3 "github.com/envoyproxy/go-control-plane/envoy/service/accesslog/v3"
+	authv3 "github.com/envoyproxy/go-control-plane/envoy/service/auth/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/front/extauthz"
+	fronthttp "yardcleat.example/yardcleat/front/http1"
+	"yardcleat.example/yardcleat/intake"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/upstream"
+)
+
+const settings = `
+listener "http" "a" { address = "10.0.0.1:80" }
+class "lookup" {
+  effect = "safe"
+  aim = "800ms"
+  deadline = "3s"
+  route {
+    method = "GET"
+    path = "/records/{id}"
+  }
+}
+class "loan-change" {
+  effect = "keyed"
+  window = "2s"
+  aim = "600ms"
+  deadline = "2s"
+  route {
+    method = "POST"
+    path = "/loans/{id...}"
+  }
+}
+plan "basic" {
+  rate = 5
+  burst = 10
+}
+customer "school" {
+  plan = "basic"
+  keys = ["k"]
+}
+servers {
+  server "a" { address = "10.0.1.1:80" }
+}
+`
+
+// scripted is a node that gives one answer to every try, and notes the try.
+type scripted struct {
+	answer node.Answer
+	try    *node.Try
+	ended  []node.Result
+}
+
+func (s *scripted) Take(t *node.Try, reply func(node.Answer)) func() {
+	s.try = t
+	a := s.answer
+	if a.Kind == node.Served {
+		if t.Proxied {
+			a.Response, a.Go = nil, &node.Go{ID: 7, Server: "10.0.1.1:80", Timeout: time.Second}
+		}
+	}
+	reply(a)
+	return func() {}
+}
+
+func (s *scripted) Ended(id policy.RequestID, attempt int, res node.Result) {
+	if id == 7 && attempt == 0 {
+		s.ended = append(s.ended, res)
+	}
+}
+
+// fronts is both fronts before a scripted node.
+type fronts struct {
+	t      *testing.T
+	node   *scripted
+	client *http.Client
+	auth   authv3.AuthorizationClient
+	logs   alsv3.AccessLogServiceClient
+}
+
+func inFronts(t *testing.T, f func(*fronts)) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := network.NewMemory(time.Millisecond, 1)
+		host, clients := mem.Host("node"), mem.Host("client")
+		cfg, err := config.Parse([]byte(settings), "test.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		in, n, log := intake.New(cfg), &scripted{}, slog.New(slog.DiscardHandler)
+		hs := fronthttp.New(fronthttp.Options{Node: n, Intake: in, Log: log, Name: "h", Connections: 10,
+			Limits:     http1.Limits{Line: 4096, Fields: 50, Header: 8192, Body: 1000},
+			HeaderTime: time.Second, BodyTime: time.Second, IdleTime: time.Minute, WriteTime: time.Second})
+		gs := extauthz.New(extauthz.Options{Node: n, Intake: in, Log: log, Name: "g",
+			TurnedAway: upstream.TurnedAway{Status: 503, Header: "X-Not-Run"}})
+		listen := func(addr string) net.Listener {
+			l, err := host.Listen(addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return l
+		}
+		hl, gl := listen("10.0.0.1:80"), listen("10.0.0.1:81")
+		go hs.Serve(hl)
+		go gs.Serve(gl)
+		cc, err := grpc.NewClient("passthrough:///10.0.0.1:81", grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) { return clients.Dial(ctx, addr) }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return clients.Dial(ctx, addr)
+		}}}
+		f(&fronts{t, n, client, authv3.NewAuthorizationClient(cc), alsv3.NewAccessLogServiceClient(cc)})
+		client.CloseIdleConnections()
+		cc.Close()
+		hl.Close()
+		hs.Drain(context.Background())
+		gs.Drain(context.Background())
+		time.Sleep(time.Minute)
+	})
+}
+
+// told is what a client learns, by whatever protocol.
+type told struct {
+	status int
+	header map[string]string
+	body   string
+}
+
+type ask struct {
+	method, path string
+	header       map[string]string
+}
+
+func (f *fronts) byHTTP(a ask) told {
+	req, err := http.NewRequest(a.method, "http://10.0.0.1:80"+a.path, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for k, v := range a.header {
+		req.Header.Set(k, v)
+	}
+	res, err := f.client.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	out := told{res.StatusCode, map[string]string{}, string(body)}
+	for k := range res.Header {
+		if k != "Content-Length" && k != "Date" {
+			out.header[strings.ToLower(k)] = res.Header.Get(k)
+		}
+	}
+	return out
+}
+
+func (f *fronts) check(a ask) *authv3.CheckResponse {
+	headers := map[string]string{":method": a.method}
+	for k, v := range a.header {
+		headers[strings.ToLower(k)] = v
+	}
+	resp, err := f.auth.Check(context.Background(), &authv3.CheckRequest{Attributes: &authv3.AttributeContext{
+		Request: &authv3.AttributeContext_Request{Http: &authv3.AttributeContext_HttpRequest{Method: a.method, Path: a.path,
+			Host: "10.0.0.1:80", Headers: headers}}}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return resp
+}
+
+func (f *fronts) byCheck(a ask) told {
+	resp := f.check(a)
+	if resp.GetOkResponse() != nil {
+		return told{status: 200}
+	}
+	d := resp.GetDeniedResponse()
+	out := told{int(d.GetStatus().GetCode()), map[string]string{}, d.GetBody()}
+	for _, h := range d.GetHeaders() {
+		out.header[h.GetHeader().GetKey()] = h.GetHeader().GetValue()
+	}
+	return out
+}
+
+func TestSameAnswers(t *testing.T) {
+	good := ask{"GET", "/records/1", map[string]string{"X-Api-Key": "k", "X-Request-Id": "r1"}}
+	with := func(a ask, method, path string, fields ...string) ask {
+		out := ask{method, path, map[string]string{}}
+		for k, v := range a.header {
+			out.header[k] = v
+		}
+		for i := 0; i+1 < len(fields); i += 2 {
+			out.header[fields[i]] = fields[i+1]
+		}
+		return out
+	}
+	refused := func(r node.Reason) node.Answer {
+		return node.Answer{Kind: node.Refused, Reason: r, RetryAfter: 1500 * time.Millisecond}
+	}
+	failed := func(r node.Reason) node.Answer { return node.Answer{Kind: node.Failed, Reason: r} }
+	served := node.Answer{Kind: node.Served, Response: &node.Response{Status: 200}}
+	denied := node.Answer{Kind: node.Refused, Reason: node.AuthorisationDenied,
+		Response: &node.Response{Status: 451, Header: http1.Header{{Name: "X-Why", Value: "law"}}, Body: []byte("no")}}
+	for _, c := range []struct {
+		name   string
+		ask    ask
+		answer node.Answer
+		status int
+		reason string
+		retry  string // Retry-After
+	}{
+		{"served", good, served, 200, "", ""},
+		{"quota", good, refused(node.Quota), 429, "quota", "2"},
+		{"open cap", good, refused(node.OpenCap), 429, "open-cap", "2"},
+		{"ceiling", good, refused(node.Ceiling), 429, "ceiling", "2"},
+		{"shed", good, refused(node.Shed), 503, "shed", "2"},
+		{"no server", good, refused(node.NoServer), 503, "no-server", "2"},
+		{"no time", good, refused(node.NoTime), 503, "no-time", "2"},
+		{"quota unknown", good, refused(node.QuotaUnknown), 503, "quota-unknown", "2"},
+		{"authorisation late", good, refused(node.AuthorisationLate), 503, "authorisation-late", "2"},
+		{"authoriser unreachable", good, refused(node.AuthorisationUnreachable), 503, "authorisation-unreachable", "2"},
+		{"denied", good, denied, 451, "authorisation-denied", ""},
+		{"overload", good, refused(node.Overload), 503, "overload", "2"},
+		{"draining", good, refused(node.Draining), 503, "draining", "2"},
+		{"server gone", good, failed(node.ServerGone), 502, "server-gone", ""},
+		{"server late", good, failed(node.ServerLate), 504, "server-late", ""},
+		{"server error", good, failed(node.ServerError), 502, "server-error", ""},
+		{"internal", good, failed(node.Internal), 502, "internal", ""},
+		{"unknown key", with(good, "GET", "/records/1", "X-Api-Key", "other"), served, 401, "unknown-key", ""},
+		{"no route", with(good, "GET", "/records"), served, 404, "no-route", ""},
+		{"no route below", with(good, "GET", "/records/1/2"), served, 404, "no-route", ""},
+		{"rest of a path", with(good, "POST", "/loans/1/2/3", "Idempotency-Key", "i"), served, 200, "", ""},
+		{"no key", with(good, "POST", "/loans/1"), served, 400, "bad-request", ""},
+		{"dot segment", with(good, "GET", "/records/%2e."), served, 400, "bad-request", ""},
+		{"malformed patience", with(good, "GET", "/records/1", "X-Envoy-Expected-Rq-Timeout-Ms", "-1"), served, 400, "bad-request", ""},
+		{"malformed count", with(good, "GET", "/records/1", "X-Envoy-Attempt-Count", "x"), served, 400, "bad-request", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inFronts(t, func(f *fronts) {
+				f.node.answer = c.answer
+				h := f.byHTTP(c.ask)
+				hTry := f.node.try
+				f.node.try = nil
+				g := f.byCheck(c.ask)
+				if h.status != c.status || g.status != c.status {
+					t.Fatalf("status %d by HTTP, %d by Check, want %d", h.status, g.status, c.status)
+				}
+				if (hTry == nil) != (f.node.try == nil) {
+					t.Error("one front asked the node, the other did not")
+				}
+				if hTry != nil {
+					a, b := *hTry, *f.node.try
+					a.Call, b.Call, a.Proxied, b.Proxied = node.Call{}, node.Call{}, false, false
+					if a.Class != b.Class || a.Customer != b.Customer || a.Plan != b.Plan || a.Trace != b.Trace || a.Patience != b.Patience || a.Repeat != b.Repeat {
+						t.Errorf("tries differ:\n%+v\n%+v", a, b)
+					}
+				}
+				if c.status == 200 {
+					return
+				}
+				if h.body != g.body || h.header["x-yardcleat-reason"] != c.reason || h.header["retry-after"] != c.retry {
+					t.Errorf("by HTTP %+v\nby Check %+v", h, g)
+				}
+				for k, v := range h.header {
+					if g.header[k] != v {
+						t.Errorf("%s: %q by HTTP, %q by Check", k, v, g.header[k])
+					}
+				}
+				var p struct {
+					Reason string
+					Retry  bool `json:"retry_is_harmless"`
+				}
+				if h.header["content-type"] == "application/problem+json" {
+					if err := json.NewDecoder(bytes.NewReader([]byte(h.body))).Decode(&p); err != nil || p.Reason != c.reason ||
+						p.Retry == (c.answer.Kind == node.Failed) {
+						t.Errorf("problem %+v, %v", p, err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Access log lines end attempts, once, with what their flags and status say.
+func TestAccessLogs(t *testing.T) {
+	line := func(status uint32, flags *datav3.ResponseFlags, header ...string) *datav3.HTTPAccessLogEntry {
+		e := &datav3.HTTPAccessLogEntry{CommonProperties: &datav3.AccessLogCommon{ResponseFlags: flags},
+			Response: &datav3.HTTPResponseProperties{ResponseHeaders: map[string]string{}}}
+		if status > 0 {
+			e.Response.ResponseCode = wrapperspb.UInt32(status)
+		}
+		for _, h := range header {
+			e.Response.ResponseHeaders[h] = "1"
+		}
+		return e
+	}
+	for _, c := range []struct {
+		name string
+		line *datav3.HTTPAccessLogEntry
+		code policy.Code
+	}{
+		{"200", line(200, nil), policy.OK}, {"404", line(404, nil), policy.OK}, {"500", line(500, nil), policy.Error},
+		{"503", line(503, nil), policy.Error}, {"turned away", line(503, nil, "x-not-run"), policy.Full},
+		{"UF", line(503, &datav3.ResponseFlags{UpstreamConnectionFailure: true}), policy.ConnectFailed},
+		{"UC", line(503, &datav3.ResponseFlags{UpstreamConnectionTermination: true}), policy.Reset},
+		{"UT", line(504, &datav3.ResponseFlags{UpstreamRequestTimeout: true}), policy.TimedOut},
+		{"UO", line(503, &datav3.ResponseFlags{UpstreamOverflow: true}), policy.Moot},
+		{"DC", line(0, &datav3.ResponseFlags{DownstreamConnectionTermination: true}), policy.Cancelled},
+		{"nothing", line(0, nil), policy.Cancelled},
+	} {
+		for _, by := range []string{"token", "request id"} {
+			t.Run(c.name+" by "+by, func(t *testing.T) {
+				inFronts(t, func(f *fronts) {
+					f.node.answer = node.Answer{Kind: node.Served}
+					resp := f.check(ask{"GET", "/records/1", map[string]string{"X-Api-Key": "k", "X-Request-Id": "r1"}})
+					set := map[string]string{}
+					for _, h := range resp.GetOkResponse().GetHeaders() {
+						set[h.GetHeader().GetKey()] = h.GetHeader().GetValue()
+					}
+					if set[extauthz.FieldServer] != "10.0.1.1:80" || set[extauthz.FieldTimeout] != "1000" {
+						t.Errorf("%v", set)
+					}
+					c.line.Request = &datav3.HTTPRequestProperties{RequestId: "r1"}
+					if by == "token" {
+						c.line.Request = &datav3.HTTPRequestProperties{RequestHeaders: map[string]string{
+							extauthz.FieldAttempt: set[extauthz.FieldAttempt]}}
+					}
+					foreign := &datav3.HTTPAccessLogEntry{Request: &datav3.HTTPRequestProperties{RequestId: "r2",
+						RequestHeaders: map[string]string{extauthz.FieldAttempt: "before-restart/7/0"}}}
+					stream, err := f.logs.StreamAccessLogs(context.Background())
+					if err != nil {
+						t.Fatal(err)
+					}
+					stream.Send(&alsv3.StreamAccessLogsMessage{LogEntries: &alsv3.StreamAccessLogsMessage_HttpLogs{
+						HttpLogs: &alsv3.StreamAccessLogsMessage_HTTPAccessLogEntries{LogEntry: []*datav3.HTTPAccessLogEntry{foreign, c.line}}}})
+					if _, err := stream.CloseAndRecv(); err != nil {
+						t.Fatal(err)
+					}
+					if len(f.node.ended) != 1 || f.node.ended[0].Code != c.code {
+						t.Errorf("%+v, want code %d", f.node.ended, c.code)
+					}
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/peer/guard_test.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"yardcleat.example/yardcleat/internal/network"
+)
+
+func init() { flag.Set("rapid.seed", "1") } // the same verdict every time
+
+var (
+	key   = bytes.Repeat([]byte{1}, 32)
+	epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+func TestOpen(t *testing.T) {
+	h := Header{From: 1, To: 2, Incarnation: 3, Seq: 4, Sent: epoch}
+	b := Seal(key, h, []byte("hello"))
+	if got, payload, ok := Open(key, b); !ok || string(payload) != "hello" || got.From != 1 || got.To != 2 ||
+		got.Incarnation != 3 || got.Seq != 4 || !got.Sent.Equal(epoch) {
+		t.Fatalf("%+v, %q, %v", got, payload, ok)
+	}
+	if _, _, ok := Open(bytes.Repeat([]byte{2}, 32), b); ok {
+		t.Error("opened with another key")
+	}
+	for i := range b {
+		for _, bad := range [][]byte{b[:i], append(bytes.Clone(b[:i]), append([]byte{b[i] ^ 1}, b[i+1:]...)...)} {
+			if _, _, ok := Open(key, bad); ok {
+				t.Fatalf("opened a packet cut or changed at %d", i)
+			}
+		}
+	}
+}
+
+func TestJudge(t *testing.T) {
+	const fresh = time.Second
+	msg := func(from, to uint16, inc, seq uint64, after time.Duration) Header {
+		return Header{From: from, To: to, Incarnation: inc, Seq: seq, Sent: epoch.Add(after)}
+	}
+	type step struct {
+		at   time.Duration
+		h    Header
+		want Word
+	}
+	for name, steps := range map[string][]step{
+		"in order":                        {{0, msg(1, 0, 5, 1, 0), Accept}, {0, msg(1, 0, 5, 2, 0), Accept}},
+		"out of order":                    {{0, msg(1, 0, 5, 9, 0), Accept}, {0, msg(1, 0, 5, 2, 0), Accept}, {0, msg(1, 0, 5, 2, 0), Replayed}},
+		"replayed":                        {{0, msg(1, 0, 5, 1, 0), Accept}, {0, msg(1, 0, 5, 1, 0), Replayed}},
+		"far behind":                      {{0, msg(1, 0, 5, 100, 0), Accept}, {0, msg(1, 0, 5, 36, 0), Replayed}, {0, msg(1, 0, 5, 37, 0), Accept}},
+		"replayed late":                   {{0, msg(1, 0, 5, 1, 0), Accept}, {2 * fresh, msg(1, 0, 5, 1, 0), Stale}},
+		"stale, to one that just started": {{2 * fresh, msg(1, 0, 5, 1, 0), Stale}},
+		"from the future":                 {{0, msg(1, 0, 5, 1, 2*fresh), Stale}},
+		"for another":                     {{0, msg(1, 2, 5, 1, 0), Foreign}},
+		"number not in the fleet":         {{0, msg(7, 0, 5, 1, 0), Foreign}},
+		"own, sent back":                  {{0, msg(0, 1, 77, 1, 0), Foreign}},
+		"own number elsewhere":            {{0, msg(0, 1, 78, 1, 0), TwiceHere}},
+		"restarted": {{0, msg(1, 0, 5, 10, 0), Accept}, {1, msg(1, 0, 6, 1, 10), Accept},
+			{2, msg(1, 0, 5, 11, 5), Older}, {3, msg(1, 0, 6, 1, 10), Replayed}},
+		"number in use twice": {{0, msg(1, 0, 5, 10, 0), Accept}, {1, msg(1, 0, 6, 1, 10), Accept}, {2, msg(1, 0, 5, 11, 20), Twice}},
+		"number 0":            {{0, msg(1, 0, 5, 0, 0), Replayed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewGuard(0, 3, 77, fresh, 100)
+			for i, s := range steps {
+				if got := g.Judge(epoch.Add(s.at), s.h); got != s.want {
+					t.Errorf("step %d: %v, want %v", i, got, s.want)
+				}
+			}
+		})
+	}
+}
+
+// The mail taken in keeps to the rate, however much comes.
+func TestRate(t *testing.T) {
+	g := NewGuard(0, 2, 1, time.Hour, 60)
+	taken := 0
+	for i := range 10_000 {
+		at := epoch.Add(time.Duration(i) * time.Millisecond)
+		if g.Judge(at, Header{From: 1, To: 0, Incarnation: 1, Seq: uint64(i + 1), Sent: at}) == Accept {
+			taken++
+		}
+	}
+	if taken < 600 || taken > 630 {
+		t.Errorf("%d of 60 a second for 10 s", taken)
+	}
+}
+
+// Whatever is sent, lost, doubled and reordered, over restarts of the sender:
+// no message is taken twice.
+func TestNeverTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewGuard(0, 2, 1, time.Hour, 1e9)
+		taken := map[Header]bool{}
+		var sent []Header
+		inc, seq, now := uint64(1), uint64(0), epoch
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				now = now.Add(time.Millisecond)
+				seq++
+				sent = append(sent, Header{From: 1, To: 0, Incarnation: inc, Seq: seq, Sent: now})
+			},
+			"restart": func(t *rapid.T) { inc, seq = inc+1, 0 },
+			"arrive": func(t *rapid.T) {
+				if len(sent) == 0 {
+					return
+				}
+				h := sent[rapid.IntRange(max(0, len(sent)-80), len(sent)-1).Draw(t, "which")]
+				if g.Judge(now, h) == Accept {
+					if taken[h] {
+						t.Fatalf("%+v taken twice", h)
+					}
+					taken[h] = true
+				}
+			},
+		})
+	})
+}
+
+// Two processes under one number: the third node says so loudly.
+func TestTwoProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := network.NewMemory(time.Millisecond, 1)
+		var mu sync.Mutex
+		var log bytes.Buffer
+		got := 0
+		open := func(host, addr string, me int, inc uint64, w io.Writer) *Mail {
+			m, err := Listen(Options{Network: mem.Host(host), Listen: addr, Addresses: map[int]string{1 - me: map[int]string{0: "a:1", 1: "b:1"}[1-me]},
+				Me: me, Key: key, Incarnation: inc, Freshness: time.Second, Rate: 1000, Log: slog.New(slog.NewTextHandler(w, nil)),
+				Deliver: func(int, []byte) {
+					mu.Lock()
+					defer mu.Unlock()
+					got++
+				}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return m
+		}
+		a := open("a", "a:1", 0, 1, &log)
+		b1, b2 := open("b", "b:1", 1, 1, io.Discard), open("c", "c:1", 1, 2, io.Discard)
+		foreign, err := Listen(Options{Network: mem.Host("d"), Listen: "d:1", Addresses: map[int]string{0: "a:1"}, Me: 1,
+			Key: bytes.Repeat([]byte{9}, 32), Incarnation: 9, Freshness: time.Second, Rate: 1000, Log: slog.New(slog.DiscardHandler)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 5 {
+			for _, m := range []*Mail{b1, b2, foreign} {
+				m.Tell(0, []byte("x"))
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		for _, m := range []*Mail{a, b1, b2, foreign} {
+			m.Close()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if got != 6 { // the first of b1, then those of b2 alone
+			t.Errorf("%d messages taken, want 6", got)
+		}
+		if !strings.Contains(log.String(), "level=ERROR") || !strings.Contains(log.String(), "number in use twice") {
+			t.Errorf("log: %s", log.String())
+		}
+	})
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add(Seal(key, Header{From: 1, To: 2, Incarnation: 3, Seq: 4, Sent: epoch}, []byte("hello")))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if h, payload, ok := Open(key, b); ok && !bytes.Equal(Seal(key, h, payload), b) {
+			t.Errorf("%x opens, but is not what was sealed", b)
+		}
+	})
+}
