--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	authv3 "github.com/envoyproxy/go-control-plane/envoy/service/auth/v3"
+	rpc "google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
+)
+
+const benchConfig = `
+listener "http" "desks" { address = "127.0.0.1:0" }
+listener "ext_authz" "proxies" { address = "127.0.0.1:0" }
+class "lookup" {
+  effect = "safe"
+  aim = "800ms"
+  deadline = "3s"
+  route {
+    method = "GET"
+    path = "/records/{id}"
+  }
+}
+plan "wide" {
+  rate = 1000000
+  burst = 1000000
+}
+customer "bench" {
+  plan = "wide"
+  keys = ["k"]
+}
+servers {
+%s
+}
+log { level = "error" }
+`
+
+// atOnce is a server that answers at once, written with the least there is.
+func atOnce(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	answer := http1.AppendResponse(nil, "GET", 200, nil, []byte("hello\n"), false)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := http1.NewReader(c, http1.Limits{Line: 4096, Fields: 100, Header: 8192})
+				for {
+					if _, err := r.Request(); err != nil {
+						return
+					}
+					if _, err := c.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func benchGateway(b *testing.B, servers ...string) (g *Gateway, httpAddr, checkAddr string) {
+	var lines string
+	for i, s := range servers {
+		lines += fmt.Sprintf("  server \"s%d\" { address = \"%s\" }\n", i, s)
+	}
+	cfg, err := config.Parse([]byte(fmt.Sprintf(benchConfig, lines)), "bench.hcl")
+	if err != nil {
+		b.Fatal(err)
+	}
+	g, err = Start(cfg, Options{Network: network.OS{}, Seed: 1,
+		Log: slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: cfg.LogLevel}))})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(g.Kill)
+	return g, g.fronts[0].l.Addr().String(), g.fronts[1].l.Addr().String()
+}
+
+// load sends b.N requests over connections kept open, and reports the rate and
+// the median and 99th percentile latency.
+func load(b *testing.B, addr string, conns int) {
+	request := "GET /records/1 HTTP/1.1\r\nHost: " + addr + "\r\nX-Api-Key: k\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n"
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	all := make([][]time.Duration, conns)
+	var wait sync.WaitGroup
+	b.ResetTimer()
+	for i := range conns {
+		wait.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer c.Close()
+			r := http1.NewReader(c, http1.Limits{Line: 4096, Fields: 100, Header: 8192, Body: 1 << 20})
+			for left.Add(-1) >= 0 {
+				start := time.Now()
+				if _, err := io.WriteString(c, request); err != nil {
+					b.Error(err)
+					return
+				}
+				res, err := r.Response("GET")
+				if err == nil {
+					_, err = r.Body(res.Framing, res.Length)
+				}
+				if err != nil || res.Status != 200 {
+					b.Errorf("%+v, %v", res, err)
+					return
+				}
+				all[i] = append(all[i], time.Since(start))
+			}
+		})
+	}
+	wait.Wait()
+	b.StopTimer()
+	took := slices.Concat(all...)
+	slices.Sort(took)
+	if len(took) > 0 {
+		b.ReportMetric(float64(len(took))/b.Elapsed().Seconds(), "req/s")
+		b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+		b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+	}
+}
+
+// The HTTP front with all decisions made, against httputil.ReverseProxy and no
+// proxy at all.
+func BenchmarkProxying(b *testing.B) {
+	for _, conns := range []int{1, 64, 1000} {
+		b.Run(fmt.Sprintf("none/%d", conns), func(b *testing.B) { load(b, atOnce(b), conns) })
+		b.Run(fmt.Sprintf("ReverseProxy/%d", conns), func(b *testing.B) {
+			u, _ := url.Parse("http://" + atOnce(b))
+			p := httputil.NewSingleHostReverseProxy(u)
+			p.Transport = &http.Transport{MaxIdleConnsPerHost: 2000}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			s := &http.Server{Handler: p}
+			go s.Serve(l)
+			defer s.Close()
+			load(b, l.Addr().String(), conns)
+		})
+		b.Run(fmt.Sprintf("yardcleat/%d", conns), func(b *testing.B) {
+			var servers []string
+			for range 64 { // so many that the cap on attempts out at a server does not count
+				servers = append(servers, strings.Clone(atOnce(b)))
+			}
+			_, addr, _ := benchGateway(b, servers...)
+			load(b, addr, conns)
+		})
+	}
+}
+
+// allowing allows every Check.
+type allowing struct {
+	authv3.UnimplementedAuthorizationServer
+}
+
+func (allowing) Check(context.Context, *authv3.CheckRequest) (*authv3.CheckResponse, error) {
+	return &authv3.CheckResponse{Status: &rpc.Status{}, HttpResponse: &authv3.CheckResponse_OkResponse{
+		OkResponse: &authv3.OkHttpResponse{}}}, nil
+}
+
+// Check with the decision made, against one that always allows.
+func BenchmarkCheck(b *testing.B) {
+	run := func(b *testing.B, addr string) {
+		cc, err := grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer cc.Close()
+		auth := authv3.NewAuthorizationClient(cc)
+		req := &authv3.CheckRequest{Attributes: &authv3.AttributeContext{Request: &authv3.AttributeContext_Request{
+			Http: &authv3.AttributeContext_HttpRequest{Method: "GET", Path: "/records/1", Host: "h",
+				Headers: map[string]string{"x-api-key": "k", "x-envoy-expected-rq-timeout-ms": "20", "user-agent": "bench"}}}}}
+		const workers = 64
+		var left atomic.Int64
+		left.Store(int64(b.N))
+		all := make([][]time.Duration, workers)
+		var wait sync.WaitGroup
+		b.ResetTimer()
+		for i := range workers {
+			wait.Go(func() {
+				for left.Add(-1) >= 0 {
+					start := time.Now()
+					if _, err := auth.Check(context.Background(), req); err != nil {
+						b.Error(err)
+						return
+					}
+					all[i] = append(all[i], time.Since(start))
+				}
+			})
+		}
+		wait.Wait()
+		b.StopTimer()
+		took := slices.Concat(all...)
+		slices.Sort(took)
+		if len(took) > 0 {
+			b.ReportMetric(float64(len(took))/b.Elapsed().Seconds(), "check/s")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+		}
+	}
+	b.Run("allowing", func(b *testing.B) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		s := grpc.NewServer()
+		authv3.RegisterAuthorizationServer(s, allowing{})
+		go s.Serve(l)
+		defer s.Stop()
+		run(b, l.Addr().String())
+	})
+	b.Run("yardcleat", func(b *testing.B) {
+		_, _, addr := benchGateway(b, atOnce(b))
+		run(b, addr)
+	})
+}
--- /dev/null
+++ b/gateway/proxied_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	authv3 "github.com/envoyproxy/go-control-plane/envoy/service/auth/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"yardcleat.example/yardcleat/standin/proxy"
+)
+
+const cappedPlan = `
+plan "capped" {
+  rate = 100
+  burst = 100
+  open = 2
+}
+customer "capped" {
+  plan = "capped"
+  keys = ["k-capped"]
+}
+`
+
+// checker asks by Check and reports nothing.
+func (w *world) checker() (check func(path string) *authv3.CheckResponse, done func()) {
+	cc, err := grpc.NewClient("passthrough:///10.0.0.1:81", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) { return w.host.Dial(ctx, addr) }))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return func(path string) *authv3.CheckResponse {
+		resp, err := authv3.NewAuthorizationClient(cc).Check(context.Background(), &authv3.CheckRequest{
+			Attributes: &authv3.AttributeContext{Request: &authv3.AttributeContext_Request{Http: &authv3.AttributeContext_HttpRequest{
+				Method: "GET", Path: path, Host: "h", Headers: map[string]string{"x-api-key": "k-capped",
+					"x-envoy-expected-rq-timeout-ms": "1000"}}}}})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		return resp
+	}, func() { cc.Close() }
+}
+
+// A Check whose proxy never logs holds its place under the cap until its
+// time-out, and no longer.
+func TestNeverLogged(t *testing.T) {
+	inWorld(t, cappedPlan, func(w *world) {
+		check, done := w.checker()
+		defer done()
+		for i := range 2 {
+			if r := check("/records/1"); r.GetOkResponse() == nil {
+				t.Fatalf("%d: %v", i, r)
+			}
+		}
+		start := time.Now()
+		if r := check("/records/1"); r.GetDeniedResponse() == nil {
+			t.Errorf("a third attempt under a cap of two, %v after the first", time.Since(start))
+		}
+		time.Sleep(1100*time.Millisecond - time.Since(start))
+		if r := check("/records/1"); r.GetOkResponse() == nil {
+			t.Errorf("the cap is still held after the time-outs: %v", r)
+		}
+	})
+}
+
+// A proxy that logs frees the cap at once, and its clients get what those of
+// the HTTP front get.
+func TestThroughProxy(t *testing.T) {
+	inWorld(t, cappedPlan, func(w *world) {
+		p, err := proxy.New(proxy.Options{Network: w.host, Gateway: "10.0.0.1:81", Patience: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := w.listen("10.0.4.1:80")
+		go p.Serve(l)
+		for i := range 10 {
+			req, _ := http.NewRequest("GET", "http://10.0.4.1:80/records/1", nil)
+			req.Header.Set("X-Api-Key", "k-capped")
+			res, err := w.client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(res.Body)
+			res.Body.Close()
+			if res.StatusCode != 200 || !strings.Contains(string(body), `"class":"lookup"`) {
+				t.Errorf("%d: status %d, %s", i, res.StatusCode, body)
+			}
+			time.Sleep(5 * time.Millisecond) // the log line's way
+		}
+		if n := len(w.arrived()); n != 10 {
+			t.Errorf("%d attempts arrived", n)
+		}
+		p.Kill()
+		w.quiet()
+		if got := fmt.Sprint(w.node.node.Open()); got != "0" {
+			t.Error(got)
+		}
+	})
+}
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -61,24 +61,44 @@
 const shortVersion = 3
 
 func encode(m any) []byte {
-	var kind byte
-	switch m.(type) {
+	b := make([]byte, 2, 48)
+	b[0] = shortVersion
+	be := binary.BigEndian
+	switch m := m.(type) {
+	case ask:
+		b = be.AppendUint64(b, m.Customer)
+		b = be.AppendUint16(be.AppendUint16(b, m.First), m.Spread)
+		b = append(b, m.Plan, m.Class)
+		b = be.AppendUint16(be.AppendUint16(b, m.Units), m.Left)
+		b = append(be.AppendUint32(b, m.Tag), m.Thin, m.Fill, bit(m.Repeat))
 	case answer:
-		kind = 1
+		b[1] = 1
+		b = append(be.AppendUint32(b, m.Tag), m.Verdict, m.Fill, m.Strain, m.Part)
 	case ended:
-		kind = 2
+		b[1] = 2
+		b = append(be.AppendUint32(be.AppendUint64(b, m.Customer), m.Tag), bit(m.Unused))
 	case sight:
-		kind = 3
+		b[1] = 3
+		b = be.AppendUint16(append(be.AppendUint32(b, m.Server), m.Class, m.Code), m.Latency)
 	case verdict:
-		kind = 4
-	}
-	b, err := binary.Append([]byte{shortVersion, kind}, binary.BigEndian, m)
-	if err != nil {
-		panic(err) // not a message of this file
+		b[1] = 4
+		b = append(be.AppendUint32(b, m.Server), m.Bad, m.Pace)
+	default:
+		panic("policy: not a message of this file")
 	}
 	return b
 }
 
+func bit(v bool) byte {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+// lengths of the messages without version and kind, by kind.
+var lengths = [...]int{8 + 2 + 2 + 1 + 1 + 2 + 2 + 4 + 3, 4 + 4, 8 + 4 + 1, 4 + 2 + 2, 4 + 2}
+
 // decode reads a message; it is nil for anything but a whole, well-formed one.
 func decode(b []byte) any {
 	if len(b) < 2 || b[0] != shortVersion {
@@ -87,27 +107,23 @@
 		}
 		return nil
 	}
-	switch b[1] {
+	kind := b[1]
+	if b = b[2:]; int(kind) >= len(lengths) || len(b) != lengths[kind] {
+		return nil
+	}
+	be := binary.BigEndian
+	switch kind {
 	case 0:
-		return fixed[ask](b[2:])
+		return ask{Customer: be.Uint64(b), First: be.Uint16(b[8:]), Spread: be.Uint16(b[10:]), Plan: b[12], Class: b[13],
+			Units: be.Uint16(b[14:]), Left: be.Uint16(b[16:]), Tag: be.Uint32(b[18:]), Thin: b[22], Fill: b[23], Repeat: b[24] != 0}
 	case 1:
-		return fixed[answer](b[2:])
+		return answer{Tag: be.Uint32(b), Verdict: b[4], Fill: b[5], Strain: b[6], Part: b[7]}
 	case 2:
-		return fixed[ended](b[2:])
+		return ended{Customer: be.Uint64(b), Tag: be.Uint32(b[8:]), Unused: b[12] != 0}
 	case 3:
-		return fixed[sight](b[2:])
-	case 4:
-		return fixed[verdict](b[2:])
-	}
-	return nil
-}
-
-func fixed[T any](b []byte) any {
-	var m T
-	if n, err := binary.Decode(b, binary.BigEndian, &m); err != nil || n != len(b) {
-		return nil
+		return sight{Server: be.Uint32(b), Class: b[4], Code: b[5], Latency: be.Uint16(b[6:])}
 	}
-	return m
+	return verdict{Server: be.Uint32(b), Bad: b[4], Pace: b[5]}
 }
 
 // onEnded frees what a member's attempt held, and gives back what it never used.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,6 +170,7 @@
 // advance brings a customer's stores up to now. A peer long silent is taken
 // to use its demand-split part of the rate: it may only be cut off.
 func (g *Gateway) advance(c *customer) {
+	g.stir(c)
 	dt := (g.now - c.at).Seconds()
 	if dt <= 0 {
 		return
@@ -511,7 +512,7 @@
 // then. A small fleet's gateway takes the best of a few random ones by predicted
 // latency and zone price.
 func (g *Gateway) pick(r *request) *server {
-	var ok, doubted []*server
+	ok, doubted := g.usables[:0], g.doubted[:0]
 	for _, s := range g.fleet {
 		if !g.usable(s, r) {
 			continue
@@ -531,6 +532,7 @@
 		}
 		ok = append(ok, s)
 	}
+	g.usables, g.doubted = ok, doubted
 	if float64(len(doubted)) > mostOut*float64(len(ok)+len(doubted)) {
 		ok = append(ok, doubted...)
 	}
--- a/policy/report.go
+++ b/policy/report.go
@@ -1,9 +1,7 @@
 package policy
 
 import (
-	"cmp"
 	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -11,9 +9,11 @@
 
 // keyOf names a customer in messages, shortOf in reports.
 func keyOf(name string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(name))
-	return h.Sum64()
+	h := uint64(14695981039346656037) // FNV-1a
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	return h
 }
 
 func shortOf(key uint64) uint32 { return uint32(key >> 40) }
@@ -120,14 +120,18 @@
 
 // message makes the report for one peer: the servers this gateway has attempts
 // out at, then the customers that come in through both, busiest first.
-func (g *Gateway) message(p *peer, list []*customer) *report {
+func (g *Gateway) message(p *peer, list *ranking) *report {
 	m := &report{inc: g.inc, seq: g.seq, complete: true}
 	for _, s := range g.fleet {
 		if s.out > 0 && len(m.servers) < maxServers && !g.tree {
 			m.servers = append(m.servers, serverOut{s.hash, byte(min(s.out, maxOut))})
 		}
 	}
-	for _, c := range list {
+	for k := 0; ; k++ {
+		c := list.at(k)
+		if c == nil {
+			break
+		}
 		i := slices.IndexFunc(c.set, func(v *peerView) bool { return v.p == p })
 		if i < 0 {
 			continue
@@ -178,29 +182,82 @@
 // report tells each peer what has changed.
 func (g *Gateway) report() {
 	g.seq++
-	var list []*customer
-	for _, c := range g.ring {
+	list := &g.ranks
+	list.reset()
+	for _, c := range g.stirred {
 		if c.news() {
 			c.urgency = g.urgent(c)
-			list = append(list, c)
+			list.rest = append(list.rest, c)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *customer) int { return cmp.Compare(b.urgency, a.urgency) })
+	none := len(list.rest) == 0
+	list.heapify()
 	for _, p := range g.peers {
-		if p == nil || p.num == g.set.Me || g.tree && len(list) == 0 {
+		if p == nil || p.num == g.set.Me || g.tree && none {
 			continue
 		}
 		if m := g.message(p, list); !g.tree || len(m.customers) > 0 {
 			g.do(Tell{To: p.num, Data: m.encode()})
 		}
 	}
-	for _, c := range list {
+	for _, c := range list.top {
 		if c.told == g.ticks {
 			c.fresh, c.toldUnits = max(0, c.fresh-1), c.passed
 		}
 	}
 }
 
+// ranking gives customers by urgency, then by place in the ring. A report has
+// room for few of many: what is not asked for is not sorted.
+type ranking struct {
+	top  []*customer // in order
+	rest []*customer // a heap
+}
+
+func (r *ranking) reset() { r.top, r.rest = r.top[:0], r.rest[:0] }
+
+func before(a, b *customer) bool {
+	return a.urgency > b.urgency || a.urgency == b.urgency && a.place < b.place
+}
+
+func (r *ranking) heapify() {
+	for i := len(r.rest)/2 - 1; i >= 0; i-- {
+		r.down(i)
+	}
+}
+
+func (r *ranking) down(i int) {
+	for h := r.rest; ; {
+		k := 2*i + 1
+		if k >= len(h) {
+			return
+		}
+		if k+1 < len(h) && before(h[k+1], h[k]) {
+			k++
+		}
+		if !before(h[k], h[i]) {
+			return
+		}
+		h[i], h[k] = h[k], h[i]
+		i = k
+	}
+}
+
+// at returns the k-th, or nil where there are fewer.
+func (r *ranking) at(k int) *customer {
+	for len(r.top) <= k {
+		n := len(r.rest) - 1
+		if n < 0 {
+			return nil
+		}
+		r.top = append(r.top, r.rest[0])
+		r.rest[0] = r.rest[n]
+		r.rest = r.rest[:n]
+		r.down(0)
+	}
+	return r.top[k]
+}
+
 // read takes over an entry's figures.
 func (v *peerView) read(e entry, now time.Duration) {
 	v.at, v.rate = now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
--- a/policy/state.go
+++ b/policy/state.go
@@ -37,6 +37,8 @@
 	told      uint32        // tick of the last report
 	toldUnits uint16        // passed, as last told
 	urgency   float64       // its place in the report
+	stirs     bool          // in the list of those that ticks look at
+	place     int           // in the ring
 }
 
 // quota is a plan with its place in the settings.
@@ -172,6 +174,10 @@
 	customers map[uint64]*customer
 	byHash    map[uint32]*customer
 	ring      []*customer
+	stirred   []*customer // those that ticks look at
+	ranks     ranking     // scratch of report
+	usables   []*server   // scratch of pick
+	doubted   []*server
 	waiting   []*customer
 	reqs      map[RequestID]*request
 	servers   map[ServerID]*server
@@ -240,10 +246,28 @@
 
 // measure takes each customer's mean of attempts out over a tick.
 func (g *Gateway) measure(dt time.Duration) {
-	for _, c := range g.ring {
-		c.expire(g.now)
-		c.count(g.now, 0)
-		c.mean, c.area = c.area/dt.Seconds(), 0
+	kept := g.stirred[:0]
+	for _, c := range g.stirred {
+		if c.out > 0 || c.area > 0 || c.mean > 0 {
+			c.expire(g.now)
+			c.count(g.now, 0)
+			c.mean, c.area = c.area/dt.Seconds(), 0
+		}
+		c.stirs = c.out > 0 || c.mean > 0 || len(c.held) > 0 || c.fresh > 0 && len(c.set) > 0
+		if c.stirs {
+			kept = append(kept, c)
+		}
+	}
+	clear(g.stirred[len(kept):])
+	g.stirred = kept
+}
+
+// stir notes a customer that something happens to: ticks pass over all others,
+// who have nothing out, held or to be told.
+func (g *Gateway) stir(c *customer) {
+	if !c.stirs {
+		c.stirs = true
+		g.stirred = append(g.stirred, c)
 	}
 }
 
@@ -295,6 +319,7 @@
 	} else {
 		g.byHash[c.hash] = c
 	}
+	c.place = len(g.ring)
 	g.ring = append(g.ring, c)
 }
 
@@ -402,7 +427,7 @@
 // request since a time.
 func (g *Gateway) forget(since time.Duration) {
 	g.ring = slices.DeleteFunc(g.ring, func(c *customer) bool {
-		if c.seen >= since || c.out > 0 || len(c.held) > 0 {
+		if c.seen >= since || c.out > 0 || len(c.held) > 0 || c.stirs {
 			return false
 		}
 		if g.byHash[c.hash] == c {
@@ -413,6 +438,9 @@
 		}
 		return true
 	})
+	for i, c := range g.ring {
+		c.place = i
+	}
 	if len(g.ring) < len(g.customers) {
 		clear(g.customers)
 		for _, c := range g.ring {
