--- /dev/null
+++ b/internal/pure/pure_test.go
@@ -0,0 +1,77 @@
+// Package pure holds what decides to having no I/O: it checks the source of the
+// packages and files that say so.
+package pure
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// decides lists what decides, from the root of the module.
+var decides = []string{"policy/*.go", "authz/*.go", "audit/*.go", "intake/*.go", "internal/timers/*.go", "peer/guard.go",
+	"upstream/ends.go", "front/extauthz/ends.go"}
+
+var banned = map[string]bool{"net": true, "net/http": true, "os": true, "os/exec": true, "syscall": true, "io/fs": true,
+	"sync": true, "sync/atomic": true, "context": true, "log/slog": true, "math/rand": true}
+
+// clock is what reads or waits for the time.
+var clock = map[string]bool{"Now": true, "Since": true, "Until": true, "Sleep": true, "After": true, "AfterFunc": true,
+	"NewTimer": true, "NewTicker": true, "Tick": true}
+
+func TestNoIO(t *testing.T) {
+	for _, pattern := range decides {
+		files, err := filepath.Glob(filepath.Join("..", "..", pattern))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: no files, %v", pattern, err)
+		}
+		for _, name := range files {
+			if !strings.HasSuffix(name, "_test.go") {
+				check(t, name)
+			}
+		}
+	}
+}
+
+func check(t *testing.T, name string) {
+	set := token.NewFileSet()
+	f, err := parser.ParseFile(set, name, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, imp := range f.Imports {
+		if path, _ := strconv.Unquote(imp.Path.Value); banned[path] {
+			t.Errorf("%s imports %s", set.Position(imp.Pos()), path)
+		}
+	}
+	ast.Inspect(f, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			t.Errorf("%s starts a goroutine", set.Position(n.Pos()))
+		case *ast.SelectorExpr:
+			if x, ok := n.X.(*ast.Ident); ok && x.Name == "time" && x.Obj == nil && clock[n.Sel.Name] {
+				t.Errorf("%s uses time.%s", set.Position(n.Pos()), n.Sel.Name)
+			}
+		}
+		return true
+	})
+}
+
+// The bench's side stays free of the program's libraries.
+func TestAdapterIsLean(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "-f", "{{if not .Standard}}{{.ImportPath}}{{end}}",
+		"yardcleat.example/yardcleat/cmd/adapter").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, dep := range strings.Fields(string(out)) {
+		if !strings.HasPrefix(dep, "yardcleat.example/yardcleat/") {
+			t.Errorf("cmd/adapter depends on %s", dep)
+		}
+	}
+}
