--- /dev/null
+++ b/tally/tally.go
@@ -0,0 +1,818 @@
+// Package tally decides what to believe of the shared counter. It keeps, for
+// each customer and window of time, how many units every process of the fleet
+// has passed: a register for each process, which that process alone raises.
+// Registers merge by their maximum, whoever brings them, so an add whose answer
+// never came may be made again, a counter that was emptied may be filled by any
+// number of nodes at once, and nothing counts twice.
+//
+// It has no I/O: events in, actions out, time passed in. It is not safe for
+// concurrent use.
+package tally
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Tuned values: shares, counts and times that people and networks set.
+const (
+	mostCalls   = 64                     // out at once, over all parts
+	silentAfter = time.Second            // without an answer a part is silent
+	retryFirst  = 250 * time.Millisecond // a silent part is asked again after this,
+	retryMost   = 2 * time.Second        // doubled up to this
+	soundAfter  = 3                      // good answers in a row that end a fault
+	splitAfter  = 3                      // answers in a row that lack what peers say they added
+	settle      = 2 * time.Second        // what a peer said must be in the counter after this
+	refresh     = 5 * time.Second        // a busy customer is asked for again after this, if nothing changed
+	forgetAfter = 2 * time.Minute        // a customer without news is dropped from memory after this
+	tellMost    = 12                     // registers in one message
+)
+
+// Milli is units in thousandths, as they are counted.
+type Milli int64
+
+// Owner names the process that a register is raised by.
+type Owner struct {
+	Node        int
+	Incarnation uint64
+}
+
+// Settings is what a Tally is told at its start.
+type Settings struct {
+	Me     Owner
+	Parts  int           // of the counter
+	Window time.Duration // length of the windows that totals are kept for
+	Keep   int           // windows kept while not confirmed
+	Calls  float64       // calls a second that this node may make
+	Mail   float64       // messages a second that this node may send
+	Rates  map[string]Plan
+}
+
+// Plan is what bounds the use of a customer.
+type Plan struct{ Rate, Burst float64 }
+
+// Key names a total.
+type Key struct {
+	Customer string
+	Window   int64 // number of the window, counted from the Unix epoch
+}
+
+// Register is how many units one process has passed for a customer in a window.
+type Register struct {
+	Key   Key
+	Owner Owner
+	Units Milli
+}
+
+// Level is how full a customer's store was at a time, in units.
+type Level struct {
+	Units float64
+	At    time.Time
+}
+
+// Action is something a Tally wants done.
+type Action interface{ action() }
+
+// Call asks for all registers of a total, then raises this node's, and puts
+// those in Seed where there are none. Answered must follow.
+type Call struct {
+	ID    uint64
+	Part  int
+	Key   Key
+	Own   []Register // of this process, and of earlier ones of this node
+	Seed  []Register // of others
+	Level Level      // to be kept beside them; At zero: none
+}
+
+// Cost is how many commands the call takes.
+func (c Call) Cost() int {
+	n := 2 + len(c.Seed) // read, and the part's epoch
+	if len(c.Own) > 0 || !c.Level.At.IsZero() {
+		n += 2 // raise, and the time it is kept
+	}
+	return n
+}
+
+// Tell sends registers to another node; they may be lost.
+type Tell struct {
+	To        int
+	Registers []Register
+}
+
+// Restore says how full a customer's store is, to a node that can't know.
+type Restore struct {
+	Customer string
+	Units    float64
+}
+
+// Note is for the operators.
+type Note struct {
+	Part  int
+	State State
+	Text  string
+}
+
+func (Call) action()    {}
+func (Tell) action()    {}
+func (Restore) action() {}
+func (Note) action()    {}
+
+// Answer is what the counter said to a Call.
+type Answer struct {
+	Failed    bool       // it gave none: the call may or may not have counted
+	Epoch     string     // drawn anew whenever the part starts empty
+	Registers []Register // before the call raised any
+	Level     Level
+}
+
+// State is what is believed of one part of the counter.
+type State int
+
+// The states.
+const (
+	Unknown  State = iota // not asked yet
+	Sound                 // it holds what it should
+	Silent                // it gives no answer
+	Emptied               // it lost what it held
+	Replaced              // another one answers in its place
+	Behind                // it holds an old copy
+	Split                 // it lacks what others say they added
+)
+
+func (s State) String() string {
+	return [...]string{"unknown", "sound", "silent", "emptied", "replaced", "behind", "split"}[s]
+}
+
+// register is what is known of one process's units.
+type register struct {
+	units Milli
+	heard time.Time // when that was last learned, from a peer or the counter
+	inCtr Milli     // as the counter last confirmed; below 0: to be put in again
+	proof Milli     // what the owner's node said itself, to be found in the counter,
+	at    time.Time // then; zero: nothing to be found
+}
+
+// account is one customer in one window.
+type account struct {
+	key     Key
+	plan    Plan
+	regs    map[Owner]*register
+	peers   []int     // nodes it comes in through
+	calling bool      // a call is out
+	asked   time.Time // when it was last answered
+	changed bool      // something here is not in the counter
+	queued  bool      // in the list of those that want a call
+	untold  bool      // own register rose since peers were told
+	since   time.Time // when it began to want a call
+	newest  bool      // the customer's latest window
+}
+
+// customer is what outlives windows.
+type customer struct {
+	name  string
+	plan  Plan
+	peers []int
+	level Level // by all that is known here
+	known bool  // the level rests on the counter or on long enough a time
+	began time.Time
+	seen  time.Time
+	now   *account
+}
+
+// call is one call out.
+type call struct {
+	a   *account
+	own []Register
+}
+
+// part is one part of the counter.
+type part struct {
+	state  State
+	epoch  string
+	okAt   time.Time // last answer
+	askAt  time.Time // not before
+	wait   time.Duration
+	good   int // answers in a row without a fault
+	lacks  int // answers in a row that lack what peers added
+	failed int // calls in a row without an answer
+}
+
+// Tally is one node's.
+type Tally struct {
+	set       Settings
+	customers map[string]*customer
+	accounts  map[Key]*account
+	wanting   []*account // want a call
+	untold    []*account // have news for peers
+	calls     map[uint64]*call
+	nextID    uint64
+	parts     []part
+	budget    float64 // calls
+	mail      float64
+	at        time.Time
+	swept     time.Time
+	acts      []Action
+}
+
+// New returns a Tally that knows nothing yet.
+func New(s Settings) *Tally {
+	return &Tally{set: s, customers: map[string]*customer{}, accounts: map[Key]*account{}, calls: map[uint64]*call{},
+		parts: make([]part, max(1, s.Parts)), budget: s.Calls, mail: s.Mail}
+}
+
+// Recall puts back what storage held: own registers, of this node's earlier
+// processes, are raised in the counter again. It comes before anything else.
+func (t *Tally) Recall(now time.Time, list []Register) {
+	for _, r := range list {
+		a := t.account(now, r.Key, Plan{})
+		if g := a.reg(r.Owner); r.Units > g.units {
+			g.units, g.heard = r.Units, now
+			t.want(now, a)
+		}
+	}
+}
+
+func (t *Tally) window(now time.Time) int64 { return now.UnixNano() / int64(t.set.Window) }
+
+// Part is the part of the counter that holds a customer, by its name.
+func (t *Tally) Part(name string) int {
+	h := uint32(2166136261)
+	for i := range len(name) {
+		h = (h ^ uint32(name[i])) * 16777619
+	}
+	return int(h % uint32(len(t.parts)))
+}
+
+func (t *Tally) account(now time.Time, k Key, p Plan) *account {
+	a := t.accounts[k]
+	if a == nil {
+		a = &account{key: k, plan: p, regs: map[Owner]*register{}}
+		t.accounts[k] = a
+	}
+	return a
+}
+
+func (a *account) reg(o Owner) *register {
+	g := a.regs[o]
+	if g == nil {
+		g = &register{}
+		a.regs[o] = g
+	}
+	return g
+}
+
+// Seen tells of a request of a customer, before it is decided on: one that was
+// never seen is asked for at once.
+func (t *Tally) Seen(now time.Time, name, plan string, peers []int) []Action {
+	c := t.customers[name]
+	if c != nil && c.now.key.Window == t.window(now) {
+		c.seen = now
+		return nil
+	}
+	t.acts = nil
+	c = t.touch(now, name, plan, peers)
+	if p := &t.parts[t.Part(name)]; !c.known && !c.now.queued && !c.now.calling && c.now.asked.IsZero() {
+		if t.budget >= 1 && len(t.calls) < mostCalls && p.state != Silent {
+			t.send(now, c.now, t.Part(name))
+		} else {
+			t.want(now, c.now)
+		}
+	}
+	return t.acts
+}
+
+// touch finds a customer and its account of now.
+func (t *Tally) touch(now time.Time, name, plan string, peers []int) *customer {
+	c := t.customers[name]
+	if c == nil {
+		p := t.set.Rates[plan]
+		c = &customer{name: name, plan: p, peers: peers, level: Level{p.Burst, now}, began: now}
+		t.customers[name] = c
+	}
+	c.seen = now
+	if w := t.window(now); c.now == nil || c.now.key.Window != w {
+		if c.now != nil {
+			c.now.newest = false
+		}
+		c.now = t.account(now, Key{name, w}, c.plan)
+		c.now.plan, c.now.peers, c.now.newest = c.plan, peers, true
+	}
+	return c
+}
+
+// Passed tells of units that this node has passed for a customer.
+func (t *Tally) Passed(now time.Time, name, plan string, peers []int, units float64) {
+	c := t.touch(now, name, plan, peers)
+	n := Milli(units*1000 + 0.5)
+	g := c.now.reg(t.set.Me)
+	g.units, g.heard = g.units+n, now
+	c.use(now, n)
+	t.want(now, c.now)
+	if !c.now.untold && len(c.now.peers) > 1 {
+		c.now.untold = true
+		t.untold = append(t.untold, c.now)
+	}
+}
+
+// use takes units off a customer's level, filled up to now.
+func (c *customer) use(now time.Time, n Milli) {
+	c.fill(now)
+	c.level.Units = max(0, c.level.Units-float64(n)/1000)
+}
+
+func (c *customer) fill(now time.Time) {
+	if dt := now.Sub(c.level.At).Seconds(); dt > 0 {
+		c.level.Units = min(c.plan.Burst, c.level.Units+c.plan.Rate*dt)
+		c.level.At = now
+	}
+	// By now whatever was used before this process began is filled up again.
+	if c.plan.Rate > 0 && now.Sub(c.began).Seconds() > c.plan.Burst/c.plan.Rate {
+		c.known = true
+	}
+}
+
+// want puts an account among those that want a call.
+func (t *Tally) want(now time.Time, a *account) {
+	a.changed = true
+	if !a.queued && !a.calling {
+		a.queued, a.since = true, now
+		t.wanting = append(t.wanting, a)
+	}
+}
+
+// Tick is to be called some times a second: it makes the calls and messages
+// that the budgets allow.
+func (t *Tally) Tick(now time.Time) []Action {
+	t.acts = nil
+	dt := min(1, max(0, now.Sub(t.at).Seconds()))
+	t.at = now
+	t.budget = min(max(1, t.set.Calls), t.budget+t.set.Calls*dt)
+	t.mail = min(max(1, t.set.Mail), t.mail+t.set.Mail*dt)
+	t.call(now)
+	t.tell()
+	if now.Sub(t.swept) > refresh {
+		t.swept = now
+		t.sweep(now)
+	}
+	return t.acts
+}
+
+// call makes calls for those that want one: where most is not in the counter
+// first, against what the plan lets pass at once, then who waits longest.
+func (t *Tally) call(now time.Time) {
+	if len(t.wanting) == 0 || t.budget < 1 || len(t.calls) >= mostCalls {
+		return
+	}
+	h := make(byUrgency, 0, len(t.wanting))
+	left := t.wanting[:0]
+	for _, a := range t.wanting {
+		if now.Before(t.parts[t.Part(a.key.Customer)].askAt) {
+			left = append(left, a)
+			continue
+		}
+		u := now.Sub(a.since).Seconds()
+		if g := a.regs[t.set.Me]; g != nil {
+			u += float64(g.units-g.inCtr) / 1000 / (a.plan.Burst + 1)
+		}
+		if a.asked.IsZero() {
+			u++
+		}
+		h = append(h, urgent{u, a})
+	}
+	heap.Init(&h)
+	for len(h) > 0 && t.budget >= 1 && len(t.calls) < mostCalls {
+		a := heap.Pop(&h).(urgent).a
+		num := t.Part(a.key.Customer)
+		p := &t.parts[num]
+		if now.Before(p.askAt) {
+			left = append(left, a)
+			continue
+		}
+		a.queued = false
+		if p.state == Silent {
+			p.askAt = now.Add(p.wait) // one call finds out
+		}
+		t.send(now, a, num)
+	}
+	for _, u := range h {
+		left = append(left, u.a)
+	}
+	clear(t.wanting[len(left):])
+	t.wanting = left
+}
+
+// byUrgency is a heap: few of many wanting get a call.
+type byUrgency []urgent
+
+type urgent struct {
+	by float64
+	a  *account
+}
+
+func (h byUrgency) Len() int      { return len(h) }
+func (h byUrgency) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *byUrgency) Push(x any)   { *h = append(*h, x.(urgent)) }
+
+func (h byUrgency) Less(i, k int) bool {
+	if h[i].by != h[k].by {
+		return h[i].by > h[k].by
+	}
+	a, b := h[i].a.key, h[k].a.key
+	return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Window, b.Window)) < 0
+}
+
+func (h *byUrgency) Pop() any {
+	old := *h
+	u := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return u
+}
+
+func (t *Tally) send(now time.Time, a *account, p int) {
+	t.nextID++
+	c := Call{ID: t.nextID, Part: p, Key: a.key}
+	for _, o := range a.owners() {
+		g := a.regs[o]
+		if g.inCtr >= g.units {
+			continue
+		}
+		r := Register{a.key, o, g.units}
+		if o.Node == t.set.Me.Node {
+			c.Own = append(c.Own, r)
+		} else if g.inCtr < 0 || !g.at.IsZero() && now.Sub(g.at) > settle {
+			c.Seed = append(c.Seed, r)
+		}
+	}
+	if cu := t.customers[a.key.Customer]; cu != nil && cu.known && a.newest {
+		cu.fill(now)
+		c.Level = cu.level
+	}
+	t.budget -= float64(c.Cost())
+	a.calling, a.changed = true, false
+	t.calls[c.ID] = &call{a, c.Own}
+	t.acts = append(t.acts, c)
+}
+
+// owners lists an account's registers in a fixed order.
+func (a *account) owners() []Owner {
+	list := make([]Owner, 0, len(a.regs))
+	for o := range a.regs {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b Owner) int {
+		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list
+}
+
+// Answered tells what came of a Call.
+func (t *Tally) Answered(now time.Time, id uint64, ans Answer) []Action {
+	t.acts = nil
+	c := t.calls[id]
+	if c == nil {
+		return nil
+	}
+	a := c.a
+	delete(t.calls, id)
+	a.calling = false
+	p := &t.parts[t.Part(a.key.Customer)]
+	if ans.Failed {
+		t.noAnswer(now, a, p)
+		return t.acts
+	}
+	t.judge(now, a, p, &ans)
+	for _, r := range ans.Registers {
+		t.merge(now, a, r, false)
+	}
+	for _, r := range c.own { // raised since
+		if g := a.regs[r.Owner]; g != nil {
+			g.inCtr = r.Units
+		}
+	}
+	a.asked = now
+	if c := t.customers[a.key.Customer]; c != nil && !c.known && a.newest {
+		t.learn(now, c, ans.Level)
+	}
+	if a.changed || t.missing(a) {
+		t.want(now, a)
+	}
+	return t.acts
+}
+
+// learn takes a level from the counter, which a node that just started can't know.
+func (t *Tally) learn(now time.Time, c *customer, l Level) {
+	if l.At.IsZero() || l.At.After(now.Add(time.Second)) {
+		return
+	}
+	mine := Milli(0)
+	if g := c.now.regs[t.set.Me]; g != nil {
+		mine = g.units
+	}
+	c.level = l
+	c.fill(now)
+	c.level.Units = max(0, c.level.Units-float64(mine)/1000)
+	c.known = true
+	t.acts = append(t.acts, Restore{c.name, c.level.Units})
+}
+
+// missing tells whether own registers are not in the counter as they should be.
+func (t *Tally) missing(a *account) bool {
+	for o, g := range a.regs {
+		if o.Node == t.set.Me.Node && g.inCtr < g.units {
+			return true
+		}
+	}
+	return false
+}
+
+// noAnswer: the call may have counted. Registers make it harmless to ask again.
+func (t *Tally) noAnswer(now time.Time, a *account, p *part) {
+	p.failed++
+	p.good = 0
+	if p.state != Silent && p.failed > 1 && now.Sub(p.okAt) > silentAfter {
+		t.become(now, a, p, Silent, fmt.Sprintf("%d calls in a row without an answer", p.failed))
+		p.wait = retryFirst
+	} else if p.state == Silent {
+		p.wait = min(2*p.wait, retryMost)
+	}
+	if p.state == Silent {
+		p.askAt = now.Add(p.wait)
+	}
+	t.want(now, a)
+}
+
+// judge compares an answer with what must be in it.
+func (t *Tally) judge(now time.Time, a *account, p *part, ans *Answer) {
+	p.okAt, p.askAt, p.wait, p.failed = now, time.Time{}, 0, 0
+	in := map[Owner]Milli{}
+	for _, r := range ans.Registers {
+		in[r.Owner] = r.Units
+	}
+	lost, lower := 0, 0
+	var most Milli
+	for _, o := range a.owners() {
+		g := a.regs[o]
+		if g.inCtr > 0 && in[o] < g.inCtr {
+			if most = max(most, g.inCtr-in[o]); in[o] == 0 {
+				lost++
+			} else {
+				lower++
+			}
+		}
+	}
+	lacks := 0
+	for o, g := range a.regs {
+		if g.at.IsZero() {
+			continue
+		}
+		if in[o] >= g.proof {
+			g.at = time.Time{}
+		} else if now.Sub(g.at) > settle {
+			lacks++
+		}
+	}
+	fresh := p.epoch != "" && ans.Epoch != p.epoch
+	p.epoch = ans.Epoch
+	evidence := func(what string) string {
+		return fmt.Sprintf("%s: of %s, window %d, %d totals were gone and %d lower, by %.3f units at most", what, a.key.Customer,
+			a.key.Window, lost, lower, float64(most)/1000)
+	}
+	refilled := fresh || lost > 0 || lower > 0
+	if refilled {
+		t.refill(now, a, p)
+	}
+	switch {
+	case fresh && lower == 0 && (lost > 0 || len(in) == 0):
+		t.become(now, a, p, Emptied, evidence("it starts empty"))
+	case fresh:
+		t.become(now, a, p, Replaced, evidence("another epoch"))
+	case refilled:
+		t.become(now, a, p, Behind, evidence("the same epoch"))
+	case lacks > 0:
+		p.good = 0
+		if p.lacks++; p.lacks >= splitAfter {
+			t.become(now, a, p, Split, fmt.Sprintf("of %s, window %d, %d nodes say they added what is not there", a.key.Customer,
+				a.key.Window, lacks))
+		}
+	default:
+		p.lacks = 0
+		if p.good++; p.good >= soundAfter || p.state == Unknown {
+			t.become(now, a, p, Sound, "answers hold all they should")
+		}
+	}
+	// What the answer holds is what is in the counter, also where it is less.
+	for o, g := range a.regs {
+		if g.inCtr = in[o]; refilled && g.inCtr == 0 {
+			g.inCtr = -1
+		}
+	}
+}
+
+// refill: nothing that the part held is taken for granted; what is known here
+// goes in again as the budget allows, own registers by this node, others' only
+// where there are none.
+func (t *Tally) refill(now time.Time, cause *account, p *part) {
+	p.good, p.lacks = 0, 0
+	num := t.Part(cause.key.Customer)
+	for _, a := range t.ordered() {
+		if t.Part(a.key.Customer) != num {
+			continue
+		}
+		for _, g := range a.regs {
+			g.inCtr = min(g.inCtr, 0) - 1 // marked as to be put in again
+		}
+		if a != cause {
+			t.want(now, a)
+		}
+	}
+}
+
+// ordered lists the accounts in a fixed order.
+func (t *Tally) ordered() []*account {
+	list := make([]*account, 0, len(t.accounts))
+	for _, a := range t.accounts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *account) int {
+		return cmp.Or(cmp.Compare(a.key.Customer, b.key.Customer), cmp.Compare(a.key.Window, b.key.Window))
+	})
+	return list
+}
+
+func (t *Tally) become(now time.Time, a *account, p *part, s State, text string) {
+	if p.state == s {
+		return
+	}
+	p.state = s
+	t.acts = append(t.acts, Note{t.Part(a.key.Customer), s, text})
+}
+
+// merge takes in a register from the counter or from its owner's node.
+func (t *Tally) merge(now time.Time, a *account, r Register, told bool) {
+	if r.Owner == t.set.Me {
+		return // nobody knows it better
+	}
+	g := a.reg(r.Owner)
+	if told {
+		if g.at.IsZero() && r.Units > g.inCtr {
+			g.proof, g.at = r.Units, now
+		}
+	} else {
+		g.inCtr = r.Units
+	}
+	g.heard = now
+	if r.Units <= g.units {
+		return
+	}
+	more := r.Units - g.units
+	g.units = r.Units
+	if c := t.customers[a.key.Customer]; c != nil {
+		c.use(now, more)
+	}
+}
+
+// Heard tells of registers that another node sent.
+func (t *Tally) Heard(now time.Time, from int, list []Register) {
+	for _, r := range list {
+		c := t.customers[r.Key.Customer]
+		if c == nil || r.Owner.Node != from {
+			continue // not one that comes in here, or not its own to tell
+		}
+		if w := t.window(now); r.Key.Window < w-int64(t.set.Keep) || r.Key.Window > w+1 {
+			continue
+		}
+		a := t.account(now, r.Key, c.plan)
+		t.merge(now, a, r, true)
+	}
+}
+
+// tell sends news of own registers to the nodes that the customer comes in
+// through, as the mail allows.
+func (t *Tally) tell() {
+	if len(t.untold) == 0 || t.mail < 1 {
+		return
+	}
+	to := map[int][]Register{}
+	var order []int
+	done := 0
+	for _, a := range t.untold {
+		if float64(len(order)) > t.mail {
+			break
+		}
+		done++
+		a.untold = false
+		r := Register{a.key, t.set.Me, a.regs[t.set.Me].units}
+		for _, n := range a.peers {
+			if n == t.set.Me.Node {
+				continue
+			}
+			if len(to[n]) == 0 {
+				order = append(order, n)
+			}
+			if len(to[n]) < tellMost {
+				to[n] = append(to[n], r)
+			} else if !a.untold {
+				a.untold = true // told with the next
+			}
+		}
+	}
+	var rest []*account
+	for _, a := range t.untold[:done] {
+		if a.untold {
+			rest = append(rest, a)
+		}
+	}
+	t.untold = append(rest, t.untold[done:]...)
+	for _, n := range order {
+		t.mail--
+		t.acts = append(t.acts, Tell{n, to[n]})
+	}
+}
+
+// sweep drops what is confirmed and over, and asks again for what is busy. Of
+// each part it asks for one total more, so that a loss is noticed also where
+// nothing is passed.
+func (t *Tally) sweep(now time.Time) {
+	w := t.window(now)
+	patrol := make([]*account, len(t.parts))
+	for _, a := range t.accounts {
+		i := t.Part(a.key.Customer)
+		if g := a.regs[t.set.Me]; a.key.Window < w-1 || g == nil || g.inCtr <= 0 || a.queued || a.calling {
+			continue
+		}
+		if p := patrol[i]; p == nil || cmp.Or(a.asked.Compare(p.asked), cmp.Compare(a.key.Customer, p.key.Customer),
+			cmp.Compare(a.key.Window, p.key.Window)) < 0 {
+			patrol[i] = a
+		}
+	}
+	for _, a := range patrol {
+		if a != nil {
+			t.want(now, a)
+		}
+	}
+	for k, a := range t.accounts {
+		over := k.Window < w-1 && !t.missing(a) || k.Window < w-int64(t.set.Keep)
+		if over && !a.calling && !a.queued && !a.untold {
+			delete(t.accounts, k)
+			continue
+		}
+		if a.newest && !a.queued && !a.calling && len(a.regs) > 0 && now.Sub(a.asked) > refresh {
+			if c := t.customers[k.Customer]; c != nil && now.Sub(c.seen) < refresh {
+				t.want(now, a)
+			}
+		}
+	}
+	for name, c := range t.customers {
+		if now.Sub(c.seen) > forgetAfter && t.accounts[c.now.key] == nil {
+			delete(t.customers, name)
+		}
+	}
+}
+
+// Estimate is what is known of a total: units surely passed, and by how much
+// the truth may be above it while every node keeps the plan's rate.
+func (t *Tally) Estimate(now time.Time, k Key) (units, above float64, ok bool) {
+	a := t.accounts[k]
+	if a == nil {
+		return 0, 0, false
+	}
+	oldest := now
+	var sum Milli
+	for o, g := range a.regs {
+		sum += g.units
+		if o != t.set.Me && g.heard.Before(oldest) {
+			oldest = g.heard
+		}
+	}
+	if a.asked.After(oldest) {
+		oldest = a.asked
+	}
+	return float64(sum) / 1000, a.plan.Rate*now.Sub(oldest).Seconds() + a.plan.Burst, true
+}
+
+// State is what is believed of a part.
+func (t *Tally) State(part int) State { return t.parts[part].state }
+
+// Own lists the registers of this node that storage must hold: those that the
+// counter has not confirmed, and those of windows still open.
+func (t *Tally) Own(now time.Time) []Register {
+	w := t.window(now)
+	var list []Register
+	for _, a := range t.ordered() {
+		for _, o := range a.owners() {
+			if g := a.regs[o]; o.Node == t.set.Me.Node && (g.inCtr < g.units || a.key.Window >= w-1) {
+				list = append(list, Register{a.key, o, g.units})
+			}
+		}
+	}
+	return list
+}
+
+// Len is the number of customers and of totals in memory, and of those that
+// want a call.
+func (t *Tally) Len() (customers, totals, wanting int) {
+	return len(t.customers), len(t.accounts), len(t.wanting)
+}
