Smuggling at the sockets; a stale list with discovery; tally's ticks follow the busy

Eleven smuggled requests are refused with one answer and reach no server. A node with a remembered list in which three of five servers are gone and one drains answers all requests and heeds discovery at once when it comes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -121,7 +121,12 @@
 		}
 		w.auth = authoriser.New("denied")
 		go w.auth.Serve(w.listen("10.0.2.1:80"))
-		cfg, err := config.Parse([]byte(worldConfig+extra), "test.hcl")
+		src := worldConfig
+		if strings.Contains(extra, "state_dir") { // the list comes by discovery
+			src = src[:strings.Index(src, "  server \"a\"")] + "  eds {\n    address = \"10.0.3.1:80\"\n    cluster = \"c\"\n  }\n" +
+				src[strings.Index(src, "  turned_away"):]
+		}
+		cfg, err := config.Parse([]byte(src+extra), "test.hcl")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/gateway/hard_test.go
+++ b/gateway/hard_test.go
@@ -17,11 +17,10 @@
 	"testing/synctest"
 	"time"
 
-	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/fleet"
-	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/node"
 	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/standin/discovery"
 )
 
 // raw puts a scripted server in the place of both catalogue servers. handle
@@ -443,48 +442,48 @@
 
 func (silent) Start(node.Attempt, func(node.Result)) func() { return func() {} }
 
-// A node restarted with its last list, which is stale: one server in it is
-// gone, the other drains. Requests end in time, and the new list counts at once.
+// A node restarted with its last list, which is stale: three servers in it are
+// gone, one is draining. What it can't know costs attempts; each request has its
+// answer, and what discovery tells counts at once.
 func TestStaleList(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		mem := network.NewMemory(time.Millisecond, 1)
-		dir := t.TempDir()
-		gone := node.Server{Address: "10.0.1.9:80", Server: policy.Server{ID: fleet.ID("10.0.1.9:80"), Weight: 1}}
-		if err := fleet.Remember(filepath.Join(dir, "servers"), []node.Server{gone}); err != nil {
-			t.Fatal(err)
-		}
-		src := worldConfig[:strings.Index(worldConfig, "servers {")] + `servers {
-  eds {
-    address = "10.0.3.1:80"
-    cluster = "c"
-  }
-}
-node { state_dir = "` + dir + `" }`
-		src = strings.ReplaceAll(src, "authorisation = \"refuse\"", "")
-		cfg, err := config.Parse([]byte(src), "x.hcl")
-		if err != nil {
-			t.Fatal(err)
+	dir := t.TempDir()
+	extra := `node { state_dir = "` + dir + `" }`
+	var list []node.Server
+	for _, a := range []string{"10.0.1.1:80", "10.0.1.2:80", "10.0.1.7:80", "10.0.1.8:80", "10.0.1.9:80"} {
+		list = append(list, node.Server{Address: a, Server: policy.Server{ID: fleet.ID(a), Weight: 1}})
+	}
+	if err := fleet.Remember(filepath.Join(dir, "servers"), list); err != nil {
+		t.Fatal(err)
+	}
+	inWorld(t, extra, func(w *world) {
+		served := 0
+		for i := range 8 { // discovery is not there yet
+			switch g := w.do("GET", fmt.Sprint("/records/", i), "k-school"); {
+			case g.status == 200:
+				served++
+			case g.header.Get("X-Yardcleat-Reason") != "server-gone": // three attempts, three gone
+				t.Errorf("%+v", g)
+			}
 		}
-		g, err := Start(cfg, Options{Network: mem.Host("node"), Log: slog.New(slog.DiscardHandler), Seed: 1})
-		if err != nil {
-			t.Fatal(err)
+		if served < 5 {
+			t.Errorf("%d of 8 served", served)
 		}
-		host := mem.Host("client")
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
-			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return host.Dial(ctx, addr) }}}
-		req, _ := http.NewRequest("GET", "http://10.0.0.1:80/records/1", nil)
-		req.Header.Set("X-Api-Key", "k-school")
-		start := time.Now()
-		res, err := client.Do(req)
-		if err != nil {
-			t.Fatal(err)
+		d := discovery.New("c", 0, nil)
+		go d.Serve(w.listen("10.0.3.1:80"))
+		d.Set([]discovery.Endpoint{{Name: "s1", Address: "10.0.1.1:80", Draining: true}, {Name: "s2", Address: "10.0.1.2:80", Cell: 1}})
+		time.Sleep(3 * time.Second) // the stream is opened again
+		told := time.Now()
+		for i := range 10 {
+			if g := w.do("GET", fmt.Sprint("/records/", i), "k-school"); g.status != 200 {
+				t.Errorf("%+v", g)
+			}
 		}
-		res.Body.Close()
-		if res.StatusCode != 503 || time.Since(start) > 3*time.Second {
-			t.Errorf("status %d after %v", res.StatusCode, time.Since(start))
+		for _, s := range w.arrived() {
+			if s.Server == "s1" && s.At.After(told) {
+				t.Errorf("sent to the draining server: %+v", s)
+			}
 		}
-		g.Kill()
-		time.Sleep(time.Minute)
+		d.Kill()
 	})
 	// A torn file is left aside.
 	path := filepath.Join(t.TempDir(), "servers")
@@ -505,3 +504,45 @@
 		}
 	}
 }
+
+// Smuggled requests: raw bytes in, what the client is told and what reaches a
+// server out. Behind each stands a request that a laxer parser would see.
+func TestSmuggling(t *testing.T) {
+	const head = "POST /notes/1 HTTP/1.1\r\nHost: h\r\nX-Api-Key: k-school\r\n"
+	const hidden = "GET /records/smuggled HTTP/1.1\r\nHost: h\r\nX-Api-Key: k-school\r\n\r\n"
+	for name, in := range map[string]string{
+		"CL.TE":               head + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"TE.CL":               head + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n5c\r\n" + hidden + "0\r\n\r\n",
+		"TE.TE, obscured":     head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n" + hidden,
+		"space before colon":  head + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"two lengths":         head + "Content-Length: 0\r\nContent-Length: 99\r\n\r\n" + hidden,
+		"folded coding":       head + "X: y\r\n Transfer-Encoding: chunked\r\n\r\n" + hidden,
+		"bare CR":             head + "X: y\rContent-Length: 99\r\n\r\n" + hidden,
+		"bare LF":             head + "X: y\nContent-Length: 99\r\n\r\n" + hidden,
+		"chunk size overflow": head + "Transfer-Encoding: chunked\r\n\r\n100000000000000000\r\n" + hidden,
+		"chunk longer":        head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n" + hidden,
+		"HTTP/1.0 chunked":    "POST /notes/1 HTTP/1.0\r\nHost: h\r\nX-Api-Key: k-school\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, "", func(w *world) {
+				got := w.rawClient(in)
+				if !strings.HasPrefix(got, "HTTP/1.1 400 ") || strings.Count(got, "HTTP/1.1 ") != 1 || !strings.Contains(got, "Connection: close\r\n") {
+					t.Errorf("%q", got)
+				}
+				if n := len(w.arrived()); n != 0 {
+					t.Errorf("%d attempts reached a server", n)
+				}
+			})
+		})
+	}
+	// A body is a body: what stands in it reaches the server as such.
+	inWorld(t, "", func(w *world) {
+		got := w.rawClient(head + fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n", len(hidden)) + hidden)
+		if !strings.HasPrefix(got, "HTTP/1.1 200 ") || strings.Count(got, "HTTP/1.1 ") != 1 {
+			t.Errorf("%q", got)
+		}
+		if n := len(w.arrived()); n != 1 {
+			t.Errorf("%d attempts, want 1", n)
+		}
+	})
+}
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -168,6 +168,8 @@
 	untold  bool      // own register rose since peers were told
 	since   time.Time // when it began to want a call
 	newest  bool      // the customer's latest window
+	recent  bool      // in the list of those used since the last sweep
+	dropped bool      // no longer in memory
 }
 
 // customer is what outlives windows.
@@ -200,11 +202,21 @@
 	failed int // calls in a row without an answer
 }
 
+// round lists the accounts of a part, to be looked at in turn.
+type round struct {
+	list []*account
+	next int
+}
+
 // Tally is one node's.
 type Tally struct {
 	set       Settings
 	customers map[string]*customer
 	accounts  map[Key]*account
+	windows   map[int64][]*account
+	rounds    []round    // of each part
+	recent    []*account // used since the last sweep
+	lastW     int64      // window of the last sweep
 	wanting   []*account // want a call
 	untold    []*account // have news for peers
 	calls     map[uint64]*call
@@ -220,7 +232,7 @@
 // New returns a Tally that knows nothing yet.
 func New(s Settings) *Tally {
 	return &Tally{set: s, customers: map[string]*customer{}, accounts: map[Key]*account{}, calls: map[uint64]*call{},
-		parts: make([]part, max(1, s.Parts)), budget: s.Calls, mail: s.Mail}
+		windows: map[int64][]*account{}, rounds: make([]round, max(1, s.Parts)), parts: make([]part, max(1, s.Parts)), budget: s.Calls, mail: s.Mail}
 }
 
 // Recall puts back what storage held: own registers, of this node's earlier
@@ -251,6 +263,9 @@
 	if a == nil {
 		a = &account{key: k, plan: p, regs: map[Owner]*register{}}
 		t.accounts[k] = a
+		t.windows[k.Window] = append(t.windows[k.Window], a)
+		r := &t.rounds[t.Part(k.Customer)]
+		r.list = append(r.list, a)
 	}
 	return a
 }
@@ -268,7 +283,7 @@
 // never seen is asked for at once.
 func (t *Tally) Seen(now time.Time, name, plan string, peers []int) []Action {
 	c := t.customers[name]
-	if c != nil && c.now.key.Window == t.window(now) {
+	if c != nil && c.now.recent && c.now.key.Window == t.window(now) {
 		c.seen = now
 		return nil
 	}
@@ -300,6 +315,10 @@
 		c.now = t.account(now, Key{name, w}, c.plan)
 		c.now.plan, c.now.peers, c.now.newest = c.plan, peers, true
 	}
+	if !c.now.recent {
+		c.now.recent = true
+		t.recent = append(t.recent, c.now)
+	}
 	return c
 }
 
@@ -732,46 +751,77 @@
 	}
 }
 
-// sweep drops what is confirmed and over, and asks again for what is busy. Of
-// each part it asks for one total more, so that a loss is noticed also where
-// nothing is passed.
+// sweep asks again for what is busy, and of each part for one total more, so
+// that a loss is noticed also where nothing is passed. Its work follows those
+// used since the last one; all are looked at once in a window.
 func (t *Tally) sweep(now time.Time) {
 	w := t.window(now)
-	patrol := make([]*account, len(t.parts))
-	for _, a := range t.accounts {
-		i := t.Part(a.key.Customer)
-		if g := a.regs[t.set.Me]; a.key.Window < w-1 || g == nil || g.inCtr <= 0 || a.queued || a.calling {
-			continue
-		}
-		if p := patrol[i]; p == nil || cmp.Or(a.asked.Compare(p.asked), cmp.Compare(a.key.Customer, p.key.Customer),
-			cmp.Compare(a.key.Window, p.key.Window)) < 0 {
-			patrol[i] = a
+	for _, a := range t.recent {
+		a.recent = false
+		if a.newest && !a.queued && !a.calling && now.Sub(a.asked) > refresh {
+			t.want(now, a)
 		}
 	}
-	for _, a := range patrol {
-		if a != nil {
+	clear(t.recent)
+	t.recent = t.recent[:0]
+	for i := range t.rounds {
+		if a := t.rounds[i].turn(w - 1); a != nil && !a.queued && !a.calling {
 			t.want(now, a)
 		}
 	}
-	for k, a := range t.accounts {
-		over := k.Window < w-1 && !t.missing(a) || k.Window < w-int64(t.set.Keep)
-		if over && !a.calling && !a.queued && !a.untold {
-			delete(t.accounts, k)
+	if w == t.lastW {
+		return
+	}
+	t.lastW = w
+	for k, list := range t.windows {
+		if k >= w-1 {
 			continue
 		}
-		if a.newest && !a.queued && !a.calling && len(a.regs) > 0 && now.Sub(a.asked) > refresh {
-			if c := t.customers[k.Customer]; c != nil && now.Sub(c.seen) < refresh {
-				t.want(now, a)
+		t.windows[k] = slices.DeleteFunc(list, func(a *account) bool {
+			if over := !t.missing(a) || k < w-int64(t.set.Keep); !over || a.calling || a.queued || a.untold || a.newest {
+				return false
 			}
+			delete(t.accounts, a.key)
+			a.dropped = true
+			return true
+		})
+		if len(t.windows[k]) == 0 {
+			delete(t.windows, k)
 		}
 	}
 	for name, c := range t.customers {
-		if now.Sub(c.seen) > forgetAfter && t.accounts[c.now.key] == nil {
+		if now.Sub(c.seen) > forgetAfter {
+			c.now.newest = false
 			delete(t.customers, name)
 		}
 	}
 }
 
+// turn is the next account of a window not before one, or nil; those dropped
+// leave the round. It looks at a few only.
+func (r *round) turn(window int64) *account {
+	for range 64 {
+		if len(r.list) == 0 {
+			return nil
+		}
+		if r.next >= len(r.list) {
+			r.next = 0
+		}
+		a := r.list[r.next]
+		if a.dropped {
+			last := len(r.list) - 1
+			r.list[r.next], r.list[last] = r.list[last], nil
+			r.list = r.list[:last]
+			continue
+		}
+		r.next++
+		if a.key.Window >= window {
+			return a
+		}
+	}
+	return nil
+}
+
 // Estimate is what is known of a total: units surely passed, and by how much
 // the truth may be above it while every node keeps the plan's rate.
 func (t *Tally) Estimate(now time.Time, k Key) (units, above float64, ok bool) {
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -439,7 +439,11 @@
 			for _, a := range tl.wanting {
 				a.queued, a.changed = false, false
 			}
-			tl.wanting, tl.untold = nil, nil
+			for _, a := range tl.recent {
+				a.recent = false
+			}
+			tl.wanting, tl.untold, tl.recent = nil, nil, nil
+			now = now.Add(time.Minute) // idle since
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
@@ -450,7 +454,11 @@
 				}
 				for _, a := range tl.Tick(now) {
 					if c, ok := a.(Call); ok {
-						tl.Answered(now, c.ID, Answer{Epoch: "1", Registers: c.Own})
+						var held []Register
+						for o, g := range tl.accounts[c.Key].regs {
+							held = append(held, Register{c.Key, o, g.inCtr})
+						}
+						tl.Answered(now, c.ID, Answer{Epoch: "1", Registers: held})
 					}
 				}
 			}
