The shared counter: totals that survive its faults, and restarts that know

A restarted node presumed what customers had used, and the portal and the bill had no tally. A node now adds what it passes to a shared counter over RESP, in registers that one process alone raises, so an add whose answer was lost is made again without counting twice, and an emptied counter is filled by all at once. What is not confirmed is kept in an embedded store, written once a second. The module has one more event, Level: how full a store is, where it can't know yet.

In virtual time the counter ends exact after silence, refusals, slowness, lost answers, emptying and an old copy, and after a kill with the disk kept; no request waits for it.

--- a/config/config.go
+++ b/config/config.go
@@ -26,6 +26,7 @@
 	Peers      Peers
 	Servers    Servers
 	Authoriser *Authoriser
+	Counter    *Counter
 	Limits     Limits
 }
 
@@ -125,6 +126,15 @@
 	MostOut int           // most Checks out at once
 }
 
+// Counter is the shared counter, of one or several parts, on RESP.
+type Counter struct {
+	Addresses []string // of its parts; a customer's name picks one
+	Calls     float64  // commands a second for the whole fleet
+	Limit     time.Duration
+	Window    time.Duration // totals are kept for each window of time
+	Keep      time.Duration // for so long
+}
+
 // Limits bounds what the node takes on.
 type Limits struct {
 	Line, Fields, Header int // bytes of a line, fields and bytes of a header
--- a/config/load.go
+++ b/config/load.go
@@ -39,6 +39,7 @@
 		Peers      *peersBlock      `hcl:"peers,block"`
 		Servers    *serversBlock    `hcl:"servers,block"`
 		Authoriser *authoriserBlock `hcl:"authoriser,block"`
+		Counter    *counterBlock    `hcl:"counter,block"`
 		Limits     *limitsBlock     `hcl:"limits,block"`
 	}
 	nodeBlock struct {
@@ -142,6 +143,13 @@
 		Timeout hcl.Expression `hcl:"timeout,optional"`
 		MostOut hcl.Expression `hcl:"most_out,optional"`
 	}
+	counterBlock struct {
+		Addresses hcl.Expression `hcl:"addresses"`
+		Calls     hcl.Expression `hcl:"calls_per_second,optional"`
+		Limit     hcl.Expression `hcl:"limit,optional"`
+		Window    hcl.Expression `hcl:"window,optional"`
+		Keep      hcl.Expression `hcl:"keep,optional"`
+	}
 	limitsBlock struct {
 		Line         hcl.Expression `hcl:"line,optional"`
 		Fields       hcl.Expression `hcl:"fields,optional"`
@@ -306,14 +314,18 @@
 		l.name(e, "")
 		return ""
 	}
-	_, port, err := net.SplitHostPort(s)
-	n, perr := strconv.Atoi(port)
-	if err != nil || perr != nil || n < 0 || n > 65535 {
+	if l.badAddress(s) {
 		l.wrong(e.Range(), "Not an address", `An address is a host and a port, such as "127.0.0.1:8080" or "[::1]:8080".`)
 	}
 	return s
 }
 
+func (l *loader) badAddress(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	n, perr := strconv.Atoi(port)
+	return err != nil || perr != nil || n < 0 || n > 65535
+}
+
 func oneOf[T ~string](l *loader, e hcl.Expression, def T, all ...T) T {
 	s := T(l.text(e, string(def)))
 	if !slices.Contains(all, s) {
@@ -351,6 +363,7 @@
 	l.customers(in.Customers)
 	l.servers(in.Servers)
 	l.authoriser(in)
+	l.counter(in.Counter)
 	l.limits(in.Limits)
 }
 
@@ -636,6 +649,38 @@
 		MostOut: l.whole0(b.MostOut, 1000, 1, 1e6)}
 }
 
+func (l *loader) counter(in *counterBlock) {
+	if in == nil {
+		return
+	}
+	c := &Counter{Calls: l.number(in.Calls, 500, 1, 1e6), Limit: l.duration(in.Limit, 80*time.Millisecond, time.Millisecond, time.Minute),
+		Window: l.duration(in.Window, time.Minute, time.Second, 24*time.Hour), Keep: l.duration(in.Keep, time.Hour, time.Second, 30*24*time.Hour)}
+	if v, ok := l.value(in.Addresses, cty.List(cty.String), "A list of addresses"); ok {
+		for _, a := range v.AsValueSlice() {
+			if a.IsNull() || l.badAddress(a.AsString()) {
+				l.wrong(in.Addresses.Range(), "Not an address", `An address is a host and a port, such as "127.0.0.1:6379".`)
+				continue
+			}
+			c.Addresses = append(c.Addresses, a.AsString())
+		}
+		if len(v.AsValueSlice()) == 0 {
+			l.wrong(in.Addresses.Range(), "No address", "At least one part of the counter is needed.")
+		}
+	}
+	if c.Keep < 2*c.Window {
+		l.wrong(l.rangeOf(in.Keep, in.Addresses), "Kept too shortly", "Totals must be kept for at least two windows, %v.", 2*c.Window)
+	}
+	l.cfg.Counter = c
+}
+
+// rangeOf is the place of a value that may not stand in the file.
+func (l *loader) rangeOf(e, other hcl.Expression) hcl.Range {
+	if v, _ := e.Value(nil); v.IsNull() {
+		return other.Range()
+	}
+	return e.Range()
+}
+
 func (l *loader) limits(in *limitsBlock) {
 	if in == nil {
 		in = &limitsBlock{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"net"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yardcleat.example/yardcleat/authz"
@@ -24,6 +25,7 @@
 	"yardcleat.example/yardcleat/node"
 	"yardcleat.example/yardcleat/peer"
 	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/store"
 	"yardcleat.example/yardcleat/upstream"
 )
 
@@ -45,6 +47,7 @@
 	serving sync.WaitGroup
 	closes  []func() // in reverse order
 	fronts  []front
+	killed  atomic.Bool // nothing is to be saved any more
 }
 
 // front is a listener with its server.
@@ -80,26 +83,51 @@
 		g.closes = append(g.closes, func() { c.Close() })
 		opt.Authoriser, opt.Authz = c, authz.New(modes(cfg), a.Timeout, a.MostOut)
 	}
-	deliver := func(from int, data []byte) { g.node.Peer(from, data) }
-	if len(cfg.Peers.Addresses) > 0 {
-		inc, err := peer.Incarnation(cfg.StateDir, opt.Base)
-		if err != nil {
-			o.Log.Warn("incarnation", "error", err)
+	inc, err := peer.Incarnation(cfg.StateDir, opt.Base)
+	if err != nil {
+		o.Log.Warn("incarnation", "error", err)
+	}
+	var led *ledger
+	// Messages that come before the node runs are lost, as any may be.
+	started := make(chan struct{})
+	deliver := func(from int, data []byte) {
+		select {
+		case <-started:
+		default:
+			return
+		}
+		if led == nil || !led.heard(from, data) {
+			g.node.Peer(from, data)
 		}
+	}
+	if len(cfg.Peers.Addresses) > 0 {
 		p := cfg.Peers
 		mail, err := peer.Listen(peer.Options{Network: o.Network, Listen: p.Listen, Addresses: p.Addresses, Me: cfg.Number,
 			Key: p.Key, Incarnation: inc, Freshness: p.Freshness, Rate: p.MailPerSecond, Log: o.Log,
-			Deliver: func(from int, data []byte) { deliver(from, data) }})
+			Deliver: deliver})
 		if err != nil {
 			return g, err
 		}
 		opt.Tell = mail.Tell
 		g.closes = append(g.closes, mail.Close)
 	}
+	var db *store.Store
+	led, db, err = g.newLedger(inc, opt.Tell)
+	if err != nil {
+		return g, err
+	}
+	if led != nil {
+		opt.Ledger = led
+	}
 	if g.node, err = node.New(opt); err != nil {
 		return g, err
 	}
+	close(started)
 	g.start(ctx, cancel, g.node.Run)
+	if led != nil {
+		ctx, cancel := context.WithCancel(ctx)
+		g.start(ctx, cancel, func(ctx context.Context) { led.run(ctx, db) })
+	}
 	if err := g.servers(ctx); err != nil {
 		return g, err
 	}
@@ -230,8 +258,10 @@
 // Stall holds the node's loop up for a time; for tests.
 func (g *Gateway) Stall(d time.Duration) { g.node.Stall(d) }
 
-// Kill stops at once: what is held is failed.
+// Kill stops at once, as a killed process does: what is held is failed, and
+// nothing is saved.
 func (g *Gateway) Kill() {
+	g.killed.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	g.Drain(ctx)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -32,6 +32,7 @@
 	client  *http.Client
 	host    *network.Host
 	closes  []func()
+	src     string // the node's configuration
 
 	mu   sync.Mutex
 	seen []audit.Seen
@@ -122,11 +123,12 @@
 		w.auth = authoriser.New("denied")
 		go w.auth.Serve(w.listen("10.0.2.1:80"))
 		src := worldConfig
-		if strings.Contains(extra, "state_dir") { // the list comes by discovery
+		if strings.Contains(extra, "state_dir") && !strings.Contains(extra, "counter {") { // the list comes by discovery
 			src = src[:strings.Index(src, "  server \"a\"")] + "  eds {\n    address = \"10.0.3.1:80\"\n    cluster = \"c\"\n  }\n" +
 				src[strings.Index(src, "  turned_away"):]
 		}
-		cfg, err := config.Parse([]byte(src+extra), "test.hcl")
+		w.src = src + extra
+		cfg, err := config.Parse([]byte(w.src), "test.hcl")
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/gateway/tally.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/store"
+	"yardcleat.example/yardcleat/tally"
+	"yardcleat.example/yardcleat/tally/counter"
+)
+
+const (
+	tallyTick  = 100 * time.Millisecond
+	saveEvery  = time.Second
+	tallyMail  = 0.05 // of the mail that a node takes in; the module's reports have 0.85
+	tallyMark  = 'T'  // first byte of its messages; the module's begin with their version
+	tallyEntry = 8 + 4 + 8
+)
+
+// ledger runs a Tally in the node's loop, and carries out what it says.
+type ledger struct {
+	g      *Gateway
+	t      *tally.Tally
+	client *counter.Client
+	tell   func(to int, data []byte)
+	names  map[uint64]string // of customers, by hash
+	peers  map[string][]int
+	inc    uint64
+}
+
+// newLedger opens what a tally needs. It is nil where no counter is configured.
+func (g *Gateway) newLedger(inc uint64, tell func(int, []byte)) (*ledger, *store.Store, error) {
+	c := g.cfg.Counter
+	if c == nil {
+		return nil, nil, nil
+	}
+	gateways := len(g.cfg.Peers.Addresses) + 1
+	set := tally.Settings{Me: tally.Owner{Node: g.cfg.Number, Incarnation: inc}, Parts: len(c.Addresses), Window: c.Window,
+		Keep: int(c.Keep / c.Window), Calls: c.Calls / float64(gateways), Mail: g.cfg.Peers.MailPerSecond * tallyMail,
+		Rates: map[string]tally.Plan{}}
+	for _, p := range g.cfg.Plans {
+		set.Rates[p.Name] = tally.Plan{Rate: p.Rate, Burst: p.Burst}
+	}
+	l := &ledger{g: g, t: tally.New(set), tell: tell, names: map[uint64]string{}, peers: map[string][]int{}, inc: inc}
+	for _, cu := range g.cfg.Customers {
+		l.names[xxhash.Sum64String(cu.Name)] = cu.Name
+		for i := range cu.Nodes {
+			l.peers[cu.Name] = append(l.peers[cu.Name], (cu.First+i)%gateways)
+		}
+	}
+	l.client = counter.New(counter.Options{Network: g.o.Network, Addresses: c.Addresses,
+		Name: fmt.Sprintf("node-%d", g.cfg.Number), Limit: c.Limit, Keep: c.Keep})
+	g.closes = append(g.closes, l.client.Close)
+	if g.cfg.StateDir == "" {
+		return l, nil, nil
+	}
+	db, list, aside, err := store.Open(filepath.Join(g.cfg.StateDir, "tally"), g.cfg.Number)
+	if err != nil {
+		return nil, nil, err
+	}
+	if aside != nil {
+		g.o.Log.Warn("the stored totals are left aside", "error", aside)
+	}
+	g.closes = append(g.closes, func() { db.Close() })
+	l.t.Recall(time.Now(), list)
+	return l, db, nil
+}
+
+// Seen and Passed are the node's words, in its loop.
+func (l *ledger) Seen(t *node.Try) {
+	l.carry(l.t.Seen(time.Now(), t.Customer, t.Plan, l.peers[t.Customer]))
+}
+
+func (l *ledger) Passed(t *node.Try) {
+	l.t.Passed(time.Now(), t.Customer, t.Plan, l.peers[t.Customer], t.Units)
+}
+
+// run ticks, and saves in groups: it costs requests nothing but the copy.
+func (l *ledger) run(ctx context.Context, db *store.Store) {
+	tick := time.NewTicker(tallyTick)
+	defer tick.Stop()
+	saved := time.Now()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			if db != nil && !l.g.killed.Load() {
+				l.save(context.Background(), db) // the node's loop ends after this
+			}
+			return
+		}
+		l.g.node.Do(func() { l.carry(l.t.Tick(time.Now())) })
+		if db != nil && time.Since(saved) >= saveEvery {
+			saved = time.Now()
+			l.save(ctx, db)
+		}
+	}
+}
+
+func (l *ledger) save(ctx context.Context, db *store.Store) {
+	lists := make(chan []tally.Register, 1)
+	l.g.node.Do(func() { lists <- l.t.Own(time.Now()) })
+	select {
+	case list := <-lists:
+		if err := db.Save(list); err != nil {
+			l.g.o.Log.Error("totals can't be stored; the node serves on", "error", err)
+		}
+	case <-ctx.Done():
+	}
+}
+
+// carry carries out actions, in the loop.
+func (l *ledger) carry(acts []tally.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case tally.Call:
+			l.client.Do(a, func(ans tally.Answer) {
+				l.g.node.Do(func() { l.carry(l.t.Answered(time.Now(), a.ID, ans)) })
+			})
+		case tally.Tell:
+			l.tell(a.To, l.encode(a.Registers))
+		case tally.Restore:
+			l.g.node.Level(a.Customer, a.Units)
+		case tally.Note:
+			log := l.g.o.Log.Warn
+			if a.State == tally.Sound {
+				log = l.g.o.Log.Info
+			}
+			log("counter is "+a.State.String(), "part", a.Part, "evidence", a.Text)
+		}
+	}
+}
+
+// encode makes a message of registers of this process.
+func (l *ledger) encode(list []tally.Register) []byte {
+	b := make([]byte, 0, 9+tallyEntry*len(list))
+	b = binary.BigEndian.AppendUint64(append(b, tallyMark), l.inc)
+	for _, r := range list {
+		b = binary.BigEndian.AppendUint64(b, xxhash.Sum64String(r.Key.Customer))
+		b = binary.BigEndian.AppendUint32(b, uint32(r.Key.Window))
+		b = binary.BigEndian.AppendUint64(b, uint64(r.Units))
+	}
+	return b
+}
+
+// heard takes a message; false where it is not one of these.
+func (l *ledger) heard(from int, b []byte) bool {
+	if len(b) == 0 || b[0] != tallyMark {
+		return false
+	}
+	if len(b) < 9 || (len(b)-9)%tallyEntry != 0 {
+		return true // malformed: of a newer version
+	}
+	owner := tally.Owner{Node: from, Incarnation: binary.BigEndian.Uint64(b[1:])}
+	var list []tally.Register
+	for b = b[9:]; len(b) > 0; b = b[tallyEntry:] {
+		name, known := l.names[binary.BigEndian.Uint64(b)]
+		if units := binary.BigEndian.Uint64(b[12:]); known && units < 1<<62 {
+			list = append(list, tally.Register{Key: tally.Key{Customer: name, Window: int64(binary.BigEndian.Uint32(b[8:]))},
+				Owner: owner, Units: tally.Milli(units)})
+		}
+	}
+	l.g.node.Do(func() { l.t.Heard(time.Now(), from, list) })
+	return true
+}
+
+var _ node.Ledger = (*ledger)(nil)
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,13 @@
 	Margin     time.Duration             // answers leave so long before the client gives up
 	Most       int                       // requests not answered yet
 	Base       time.Time                 // the node's time 0; zero: now
+	Ledger     Ledger                    // nil: none
+}
+
+// Ledger is told of what is asked for and passed, in the loop.
+type Ledger interface {
+	Seen(t *Try)   // a request is given to the module
+	Passed(t *Try) // its first attempt goes out: its units count
 }
 
 // Node is a running gateway. Its methods may be called from any goroutine.
@@ -189,6 +196,14 @@
 	n.post(func() { n.feed(policy.PeerMessage{From: from, Data: data}) })
 }
 
+// Do runs f in the loop, in turn with all else that happens.
+func (n *Node) Do(f func()) { n.post(f) }
+
+// Level tells the module how full a customer's store is; from the loop only.
+func (n *Node) Level(customer string, units float64) {
+	n.feed(policy.Level{Customer: customer, Units: units})
+}
+
 // Members tells of the server list.
 func (n *Node) Members(kind policy.MembersKind, list []Server) {
 	n.post(func() {
@@ -330,6 +345,9 @@
 func (n *Node) decide(r *request) {
 	r.state = deciding
 	t := r.try
+	if n.o.Ledger != nil {
+		n.o.Ledger.Seen(t)
+	}
 	n.feed(policy.Request{ID: r.id, Customer: t.Customer, Plan: t.Plan, Class: t.Class, Units: t.Units,
 		Remaining: r.deadline - n.now, First: t.First, Spread: t.Spread, Retry: t.Repeat})
 }
@@ -444,6 +462,9 @@
 		left = min(left, a.Timeout)
 	}
 	r.state = out
+	if attempt == 0 && n.o.Ledger != nil {
+		n.o.Ledger.Passed(r.try)
+	}
 	r.limit = n.wheel.Add(n.now+left, func() {
 		n.attemptEnded(r, attempt, Result{Code: policy.TimedOut, Detail: "no answer in time"})
 	})
--- a/policy/api.go
+++ b/policy/api.go
@@ -187,6 +187,13 @@
 	Servers []Server
 }
 
+// Level tells how full a customer's store is, by a witness other than the
+// peers' reports. It counts only where this gateway can't know yet.
+type Level struct {
+	Customer string
+	Units    float64
+}
+
 // Action is something a gateway wants done.
 type Action interface{ action() }
 
@@ -258,6 +265,7 @@
 func (Timer) event()       {}
 func (PeerMessage) event() {}
 func (Members) event()     {}
+func (Level) event()       {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -40,6 +40,8 @@
 		g.onPeer(ev)
 	case Members:
 		g.onMembers(ev)
+	case Level:
+		g.onLevel(ev)
 	}
 	out, g.acts = g.acts, nil
 	return out
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -731,6 +731,16 @@
 	}
 }
 
+// onLevel takes a customer's store from another witness while this gateway has
+// run too shortly to know it. Guards against a quota granted twice after
+// restarts; harms when the witness is behind, by what was passed since.
+func (g *Gateway) onLevel(ev Level) {
+	if c := g.customers[keyOf(ev.Customer)]; c != nil && !c.known {
+		g.advance(c)
+		c.known, c.store = true, min(c.plan.Burst, max(0, ev.Units))
+	}
+}
+
 // Asking the roots of a customer: where its counts are not here, a request
 // waits for its root's answer.
 
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,164 @@
+// Package store keeps what must outlive a process, in an embedded database
+// (bbolt): the totals of tally that the counter may not hold yet.
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"yardcleat.example/yardcleat/tally"
+)
+
+const formatVersion = 1
+
+var (
+	metaBucket = []byte("meta")
+	regsBucket = []byte("registers")
+	formatKey  = []byte("format")
+	nodeKey    = []byte("node")
+)
+
+// Store is one node's database.
+type Store struct{ db *bbolt.DB }
+
+// ErrInUse says that another process has the database open.
+var ErrInUse = errors.New("store: another process uses it")
+
+// Open opens a node's database and reads the totals in it. A file that is torn,
+// foreign, of another format or of another node is moved aside, and aside says
+// why and where to; the store then starts empty.
+func Open(path string, node int) (s *Store, list []tally.Register, aside error, err error) {
+	s, list, err = open(path, node)
+	if err == nil || errors.Is(err, ErrInUse) {
+		return s, list, nil, err
+	}
+	away := fmt.Sprintf("%s.aside-%d", path, time.Now().UnixNano())
+	if rerr := os.Rename(path, away); rerr != nil {
+		return nil, nil, nil, errors.Join(err, rerr)
+	}
+	aside = fmt.Errorf("%w; moved to %s", err, away)
+	s, list, err = open(path, node)
+	return s, list, aside, err
+}
+
+func open(path string, node int) (s *Store, list []tally.Register, err error) {
+	var db *bbolt.DB
+	// The file is mapped: reading a page that a cut took away is a fault.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		// The database checks its pages as it meets them, and panics.
+		if p := recover(); p != nil {
+			err = fmt.Errorf("store: %s is torn: %v", path, p)
+		}
+		if err != nil && db != nil {
+			func() {
+				defer func() { recover() }()
+				db.Close()
+			}()
+			s, list = nil, nil
+		}
+	}()
+	if db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second}); err != nil {
+		if errors.Is(err, bbolt.ErrTimeout) {
+			return nil, nil, ErrInUse
+		}
+		return nil, nil, fmt.Errorf("store: %s is torn or not a store: %w", path, err)
+	}
+	s = &Store{db}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		if info, err := os.Stat(path); err != nil || info.Size() < tx.Size() {
+			return fmt.Errorf("store: %s is cut short", path)
+		}
+		meta := tx.Bucket(metaBucket)
+		if meta == nil {
+			if name, _ := tx.Cursor().First(); name != nil {
+				return fmt.Errorf("store: %s is a database of something else", path)
+			}
+			return s.begin(tx, node)
+		}
+		if v := number(meta.Get(formatKey)); v != formatVersion {
+			return fmt.Errorf("store: %s is of format %d, not %d", path, v, formatVersion)
+		}
+		if n := number(meta.Get(nodeKey)); n != uint64(node) {
+			return fmt.Errorf("store: %s is of node %d, not %d", path, n, node)
+		}
+		for err := range tx.Check() {
+			return fmt.Errorf("store: %s is torn: %w", path, err)
+		}
+		regs := tx.Bucket(regsBucket)
+		if regs == nil {
+			return fmt.Errorf("store: %s lacks its totals", path)
+		}
+		return regs.ForEach(func(k, v []byte) error {
+			r, err := decode(k, v)
+			list = append(list, r)
+			return err
+		})
+	})
+	return s, list, err
+}
+
+func (s *Store) begin(tx *bbolt.Tx, node int) error {
+	meta, err := tx.CreateBucket(metaBucket)
+	if err != nil {
+		return err
+	}
+	if _, err := tx.CreateBucket(regsBucket); err != nil {
+		return err
+	}
+	return errors.Join(meta.Put(formatKey, be(formatVersion)), meta.Put(nodeKey, be(uint64(node))))
+}
+
+func be(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
+
+func number(b []byte) uint64 {
+	if len(b) != 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(b)
+}
+
+// A register's key is node, incarnation, window and customer; its value units.
+func encode(r tally.Register) (k, v []byte) {
+	k = be(uint64(r.Owner.Node))
+	k = binary.BigEndian.AppendUint64(k, r.Owner.Incarnation)
+	k = binary.BigEndian.AppendUint64(k, uint64(r.Key.Window))
+	return append(k, r.Key.Customer...), be(uint64(r.Units))
+}
+
+func decode(k, v []byte) (tally.Register, error) {
+	if len(k) < 25 || len(v) != 8 {
+		return tally.Register{}, fmt.Errorf("store: malformed total %x", k)
+	}
+	return tally.Register{Owner: tally.Owner{Node: int(number(k[:8])), Incarnation: number(k[8:16])},
+		Key: tally.Key{Window: int64(number(k[16:24])), Customer: string(k[24:])}, Units: tally.Milli(number(v))}, nil
+}
+
+// Save replaces the totals by a list, in one transaction: after a kill at any
+// moment either the old ones or the new ones are there.
+func (s *Store) Save(list []tally.Register) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		if err := tx.DeleteBucket(regsBucket); err != nil {
+			return err
+		}
+		b, err := tx.CreateBucket(regsBucket)
+		if err != nil {
+			return err
+		}
+		for _, r := range list {
+			if err := b.Put(encode(r)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Close closes the database.
+func (s *Store) Close() error { return s.db.Close() }
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -225,6 +225,7 @@
 	budget    float64 // calls
 	mail      float64
 	at        time.Time
+	start     time.Time // of this process
 	swept     time.Time
 	acts      []Action
 }
@@ -302,6 +303,9 @@
 // touch finds a customer and its account of now.
 func (t *Tally) touch(now time.Time, name, plan string, peers []int) *customer {
 	c := t.customers[name]
+	if t.start.IsZero() {
+		t.start = now
+	}
 	if c == nil {
 		p := t.set.Rates[plan]
 		c = &customer{name: name, plan: p, peers: peers, level: Level{p.Burst, now}, began: now}
@@ -368,6 +372,9 @@
 	t.acts = nil
 	dt := min(1, max(0, now.Sub(t.at).Seconds()))
 	t.at = now
+	if t.start.IsZero() {
+		t.start = now
+	}
 	t.budget = min(max(1, t.set.Calls), t.budget+t.set.Calls*dt)
 	t.mail = min(max(1, t.set.Mail), t.mail+t.set.Mail*dt)
 	t.call(now)
@@ -521,9 +528,17 @@
 	return t.acts
 }
 
-// learn takes a level from the counter, which a node that just started can't know.
+// learn takes a level from the counter, which a node that just started can't
+// know. Where the counter has none, and whoever passed units before this window
+// or this process has had them filled up since, the window's totals tell.
 func (t *Tally) learn(now time.Time, c *customer, l Level) {
-	if l.At.IsZero() || l.At.After(now.Add(time.Second)) {
+	if l.At.IsZero() {
+		whole := time.Duration(c.plan.Burst / max(c.plan.Rate, 1e-9) * float64(time.Second))
+		age := max(now.Sub(t.start), time.Duration(now.UnixNano()%int64(t.set.Window)))
+		c.known = age > whole
+		return
+	}
+	if l.At.After(now.Add(time.Second)) {
 		return
 	}
 	mine := Milli(0)
