--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -10,7 +10,6 @@
 	"net/http/httputil"
 	"net/url"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +23,7 @@
 	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/standin/counter"
 )
 
 const benchConfig = `
@@ -84,11 +84,15 @@
 }
 
 func benchGateway(b *testing.B, servers ...string) (g *Gateway, httpAddr, checkAddr string) {
+	return benchWith(b, "", servers...)
+}
+
+func benchWith(b *testing.B, extra string, servers ...string) (g *Gateway, httpAddr, checkAddr string) {
 	var lines string
 	for i, s := range servers {
 		lines += fmt.Sprintf("  server \"s%d\" { address = \"%s\" }\n", i, s)
 	}
-	cfg, err := config.Parse([]byte(fmt.Sprintf(benchConfig, lines)), "bench.hcl")
+	cfg, err := config.Parse([]byte(fmt.Sprintf(benchConfig, lines)+extra), "bench.hcl")
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -169,7 +173,7 @@
 		b.Run(fmt.Sprintf("yardcleat/%d", conns), func(b *testing.B) {
 			var servers []string
 			for range 64 { // so many that the cap on attempts out at a server does not count
-				servers = append(servers, strings.Clone(atOnce(b)))
+				servers = append(servers, atOnce(b))
 			}
 			_, addr, _ := benchGateway(b, servers...)
 			load(b, addr, conns)
@@ -242,3 +246,28 @@
 		run(b, addr)
 	})
 }
+
+// A request with and without tally, counter and store.
+func BenchmarkTally(b *testing.B) {
+	for _, with := range []bool{false, true} {
+		b.Run(fmt.Sprint(with), func(b *testing.B) {
+			extra := ""
+			if with {
+				c := counter.New()
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					b.Fatal(err)
+				}
+				go c.Serve(l)
+				defer c.Kill()
+				extra = fmt.Sprintf("counter { addresses = [%q] }\nnode { state_dir = %q }\n", l.Addr().String(), b.TempDir())
+			}
+			var servers []string
+			for range 64 {
+				servers = append(servers, atOnce(b))
+			}
+			_, addr, _ := benchWith(b, extra, servers...)
+			load(b, addr, 64)
+		})
+	}
+}
--- a/tally/counter/client.go
+++ b/tally/counter/client.go
@@ -84,7 +84,9 @@
 	var epoch *redis.StringCmd
 	var all *redis.MapStringStringCmd
 	_, err = part.Pipelined(ctx, func(p redis.Pipeliner) error {
-		epoch = p.Get(ctx, epochKey)
+		if call.Epoch {
+			epoch = p.Get(ctx, epochKey)
+		}
 		all = p.HGetAll(ctx, key)
 		var set []any
 		for _, r := range call.Own {
@@ -99,7 +101,7 @@
 		for _, r := range call.Seed {
 			p.HSetNX(ctx, key, field(r.Owner), int64(r.Units))
 		}
-		if len(set) > 0 || len(call.Seed) > 0 {
+		if call.Expire && len(set)+len(call.Seed) > 0 {
 			p.PExpire(ctx, key, c.o.Keep)
 		}
 		return nil
@@ -107,7 +109,9 @@
 	if err != nil && err != redis.Nil {
 		return ans, err
 	}
-	ans.Epoch, err = epoch.Result()
+	if err = nil; epoch != nil {
+		ans.Epoch, err = epoch.Result()
+	}
 	if err == redis.Nil {
 		// The first to find it missing draws it; all use what then stands there.
 		if err = part.SetNX(ctx, epochKey, strconv.FormatUint(rand.Uint64(), 36), 0).Err(); err == nil {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -29,6 +29,7 @@
 	refresh     = 5 * time.Second        // a busy customer is asked for again after this, if nothing changed
 	forgetAfter = 2 * time.Minute        // a customer without news is dropped from memory after this
 	tellMost    = 12                     // registers in one message
+	epochEvery  = time.Second            // a part\'s epoch is asked for
 )
 
 // Milli is units in thousandths, as they are counted.
@@ -85,13 +86,18 @@
 	Own   []Register // of this process, and of earlier ones of this node
 	Seed  []Register // of others
 	Level Level      // to be kept beside them; At zero: none
+
+	Expire bool // set anew how long the total is kept
+	Epoch  bool // ask for the part's epoch, too
 }
 
 // Cost is how many commands the call takes.
 func (c Call) Cost() int {
-	n := 2 + len(c.Seed) // read, and the part's epoch
-	if len(c.Own) > 0 || !c.Level.At.IsZero() {
-		n += 2 // raise, and the time it is kept
+	n := 1 + len(c.Seed)
+	for _, also := range []bool{len(c.Own) > 0 || !c.Level.At.IsZero(), c.Expire, c.Epoch} {
+		if also {
+			n++
+		}
 	}
 	return n
 }
@@ -123,7 +129,7 @@
 // Answer is what the counter said to a Call.
 type Answer struct {
 	Failed    bool       // it gave none: the call may or may not have counted
-	Epoch     string     // drawn anew whenever the part starts empty
+	Epoch     string     // drawn anew whenever the part starts empty; "": not asked for
 	Registers []Register // before the call raised any
 	Level     Level
 }
@@ -192,14 +198,19 @@
 
 // part is one part of the counter.
 type part struct {
-	state  State
-	epoch  string
-	okAt   time.Time // last answer
-	askAt  time.Time // not before
-	wait   time.Duration
-	good   int // answers in a row without a fault
-	lacks  int // answers in a row that lack what peers added
-	failed int // calls in a row without an answer
+	state    State
+	epoch    string
+	asked    time.Time // when the epoch was last asked for
+	doubt    bool      // totals were lost, it is not told yet how
+	lost     bool      // gone,
+	lower    bool      // or lower than they were
+	evidence string
+	okAt     time.Time // last answer
+	askAt    time.Time // not before
+	wait     time.Duration
+	good     int // answers in a row without a fault
+	lacks    int // answers in a row that lack what peers added
+	failed   int // calls in a row without an answer
 }
 
 // round lists the accounts of a part, to be looked at in turn.
@@ -459,12 +470,16 @@
 
 func (t *Tally) send(now time.Time, a *account, p int) {
 	t.nextID++
-	c := Call{ID: t.nextID, Part: p, Key: a.key}
+	c := Call{ID: t.nextID, Part: p, Key: a.key, Expire: a.asked.IsZero()}
+	if now.Sub(t.parts[p].asked) > epochEvery {
+		c.Epoch, t.parts[p].asked = true, now
+	}
 	for _, o := range a.owners() {
 		g := a.regs[o]
 		if g.inCtr >= g.units {
 			continue
 		}
+		c.Expire = c.Expire || g.inCtr < 0
 		r := Register{a.key, o, g.units}
 		if o.Node == t.set.Me.Node {
 			c.Own = append(c.Own, r)
@@ -608,8 +623,8 @@
 			lacks++
 		}
 	}
-	fresh := p.epoch != "" && ans.Epoch != p.epoch
-	p.epoch = ans.Epoch
+	fresh := p.epoch != "" && ans.Epoch != "" && ans.Epoch != p.epoch
+	p.epoch = cmp.Or(ans.Epoch, p.epoch)
 	evidence := func(what string) string {
 		return fmt.Sprintf("%s: of %s, window %d, %d totals were gone and %d lower, by %.3f units at most", what, a.key.Customer,
 			a.key.Window, lost, lower, float64(most)/1000)
@@ -618,13 +633,24 @@
 	if refilled {
 		t.refill(now, a, p)
 	}
+	// Which loss it is shows with the epoch, which is asked for next where this
+	// answer did not bring it.
+	if refilled {
+		p.lost = p.lost || lost > 0 || len(in) == 0
+		p.doubt, p.lower, p.evidence = true, p.lower || lower > 0, evidence("totals lost")
+	}
 	switch {
-	case fresh && lower == 0 && (lost > 0 || len(in) == 0):
-		t.become(now, a, p, Emptied, evidence("it starts empty"))
-	case fresh:
-		t.become(now, a, p, Replaced, evidence("another epoch"))
-	case refilled:
-		t.become(now, a, p, Behind, evidence("the same epoch"))
+	case p.doubt && ans.Epoch == "":
+		p.asked = time.Time{}
+	case p.doubt:
+		s := Behind
+		if fresh && p.lost && !p.lower {
+			s = Emptied
+		} else if fresh {
+			s = Replaced
+		}
+		p.doubt, p.lower, p.lost = false, false, false
+		t.become(now, a, p, s, p.evidence)
 	case lacks > 0:
 		p.good = 0
 		if p.lacks++; p.lacks >= splitAfter {
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -41,7 +41,10 @@
 		m = map[Owner]Milli{}
 		h.regs[c.Key] = m
 	}
-	ans := Answer{Epoch: h.epoch, Level: h.level[c.Key.Customer]}
+	ans := Answer{Level: h.level[c.Key.Customer]}
+	if c.Epoch {
+		ans.Epoch = h.epoch
+	}
 	for o, u := range m {
 		ans.Registers = append(ans.Registers, Register{c.Key, o, u})
 	}
