--- a/cmd/yardcleat/day.go
+++ b/cmd/yardcleat/day.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -15,33 +16,41 @@
 )
 
 func dayCommand() *cobra.Command {
-	var asJSON, show bool
+	var asJSON, show, list bool
 	var keep string
 	c := &cobra.Command{Use: "day [SCRIPT]", Short: "Play a scripted day of trouble on real nodes and check the rules",
 		Long: "Play a day: nodes as processes of their own, stand-ins for all that is around them, and clients, on\n" +
 			"loopback. At the end a table tells what came of the tries and what was found of each rule. Without\n" +
-			"SCRIPT a day of half a minute is played. The exit code is 1 where a rule was broken.",
+			"SCRIPT, a file or the name of one that comes with the program, a day of half a minute is played. The exit code is 1 where a rule was broken.",
 		Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			src, name := day.Default, "default.hcl"
+			if list {
+				fmt.Fprintln(cmd.OutOrStdout(), strings.Join(day.Names(), "\n"))
+				return nil
+			}
+			name := day.Default
 			if len(args) == 1 {
-				var err error
-				if src, err = os.ReadFile(args[0]); err != nil {
-					return err
-				}
 				name = args[0]
 			}
+			src, err := day.Source(name)
+			if err != nil {
+				src, err = os.ReadFile(name)
+			}
+			if err != nil {
+				return fmt.Errorf("there is no script %q; the program has %s", name, strings.Join(day.Names(), ", "))
+			}
 			if show {
 				_, err := cmd.OutOrStdout().Write(src)
 				return err
 			}
-			s, err := day.Parse(src, name)
+			s, err := day.Parse(src, strings.TrimSuffix(name, ".hcl")+".hcl")
 			if err != nil {
 				return err
 			}
 			return play(cmd, s, keep, asJSON)
 		}}
 	c.Flags().BoolVar(&asJSON, "json", false, "print the report as one JSON document")
+	c.Flags().BoolVar(&list, "list", false, "list the scripts that come with the program")
 	c.Flags().BoolVar(&show, "show", false, "print the script and play nothing")
 	c.Flags().StringVar(&keep, "keep", "", "keep the nodes' configurations and logs in this directory")
 	return c
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 
 // The whole bad day keeps all rules, in virtual time.
 func TestDefaultDay(t *testing.T) {
-	r := playInBubble(t, Default, nil)
+	r := playInBubble(t, source(t, Default), nil)
 	if !r.Kept() {
 		r.Write(t.Output())
 		t.Error("a rule was broken")
@@ -57,7 +58,10 @@
 
 // coldDay has few servers, all busy, one of which returns very cold.
 var coldDay = func() []byte {
-	b := bytes.Clone(Default[:bytes.Index(Default, []byte("fault "))+len("fault")])
+	b, err := Source("base")
+	if err != nil {
+		panic(err)
+	}
 	for _, e := range [][2]string{{`"30s"`, `"10s"`}, {"count         = 10", "count         = 3"}, {"cold_share    = 0.21", "cold_share    = 0.05"},
 		{`told_late     = "400ms"`, `told_late     = "50ms"`},
 		{"cores         = 2", "cores         = 4"}, {"queue         = 16", "queue         = 40"}} {
@@ -66,7 +70,7 @@
 		}
 		b = bytes.Replace(b, []byte(e[0]), []byte(e[1]), 1)
 	}
-	return append(b, []byte(` "server-drain" {
+	return append(b, []byte(`fault "server-drain" {
   at     = "1s"
   for    = "1s"
   target = 2
@@ -78,6 +82,15 @@
 `)...)
 }()
 
+func source(t *testing.T, name string) []byte {
+	t.Helper()
+	b, err := Source(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
 func TestColdDay(t *testing.T) {
 	if r := playInBubble(t, coldDay, nil); !r.Kept() {
 		r.Write(t.Output())
@@ -105,8 +118,8 @@
 		script []byte
 	}{
 		{1, "the client's patience is not read",
-			edit("clients {", "clients {\n patience_header = \"x-none\""), Default},
-		{2, "keyed requests are taken for safe", edit(`effect = "keyed"`, `effect = "safe"`), Default},
+			edit("clients {", "clients {\n patience_header = \"x-none\""), source(t, Default)},
+		{2, "keyed requests are taken for safe", edit(`effect = "keyed"`, `effect = "safe"`), source(t, Default)},
 		{3, "drains are not heard of", func(b *Bubble) {
 			b.Deafen = func(list []node.Server) []node.Server {
 				for i := range list {
@@ -114,7 +127,7 @@
 				}
 				return list
 			}
-		}, Default},
+		}, source(t, Default)},
 		{4, "cold servers are taken for warm", func(b *Bubble) {
 			b.Deafen = func(list []node.Server) []node.Server {
 				for i := range list {
@@ -124,7 +137,7 @@
 			}
 		}, coldDay},
 		{5, "neither quota nor ceiling is known", edit("rate = 8\n  burst = 16\n  open = 6\n  hard_rate = 14\n  hard_burst = 24",
-			"rate = 100\n  burst = 100\n  open = 0"), Default},
+			"rate = 100\n  burst = 100\n  open = 0"), source(t, Default)},
 	} {
 		t.Run(c.what, func(t *testing.T) {
 			r := playInBubble(t, c.script, c.defect)
@@ -135,3 +148,24 @@
 		})
 	}
 }
+
+// Each fault of the counter: all rules hold, no request waits for it, and the
+// counter ends with all that arrived but what a killed node had not stored.
+func TestCounterDays(t *testing.T) {
+	for _, name := range Names() {
+		if !strings.HasPrefix(name, "counter-") {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			r := playInBubble(t, source(t, name), nil)
+			if !r.Kept() {
+				r.Write(t.Output())
+				t.Error("a rule was broken")
+			}
+			if r.Tally.Below > 0.03*r.Tally.Arrived || r.Tally.Arrived == 0 {
+				t.Errorf("%+v", *r.Tally)
+			}
+			t.Logf("%+v", *r.Tally)
+		})
+	}
+}
--- a/day/report.go
+++ b/day/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -23,10 +24,21 @@
 	Fronts   []Row           `json:"fronts"`
 	Classes  []Latency       `json:"classes"`
 	Attempts int             `json:"attempts"` // that reached servers
+	Tally    *Tally          `json:"tally,omitempty"`
 	Rules    []audit.Finding `json:"rules"`
 	Errors   []string        `json:"errors"` // of the day itself
 }
 
+// Tally compares the counter at the end with what servers received: units of
+// first attempts. What was sent and never arrived counts, too, so the counter may
+// be above.
+type Tally struct {
+	Arrived float64 `json:"arrived"`
+	Counted float64 `json:"counted"`
+	Below   float64 `json:"below"` // units missing, over customers that are below
+	Above   float64 `json:"above"`
+}
+
 // Row counts tries by what came of them.
 type Row struct {
 	Name    string         `json:"name"`
@@ -84,6 +96,7 @@
 	}
 	r.Goodput = float64(good) / r.Seconds
 	r.Plans, r.Fronts = rows(plans), rows(fronts)
+	r.Tally = d.tally()
 	r.Rules = audit.Check(&d.record)
 	for _, err := range d.errs {
 		r.Errors = append(r.Errors, err.Error())
@@ -91,6 +104,37 @@
 	return r
 }
 
+func (d *stage) tally() *Tally {
+	if len(d.counters) == 0 {
+		return nil
+	}
+	arrived, counted := map[string]float64{}, map[string]float64{}
+	tries := map[string]*audit.Tried{}
+	for i := range d.record.Tried {
+		tries[d.record.Tried[i].Trace] = &d.record.Tried[i]
+	}
+	seen := map[string]bool{}
+	for _, s := range d.record.Seen {
+		if t := tries[s.Trace]; t != nil && !seen[s.Trace] {
+			seen[s.Trace] = true
+			arrived[t.Customer] += t.Units
+		}
+	}
+	for _, c := range d.counters {
+		for key, milli := range c.Totals("yt:{") {
+			name, _, _ := strings.Cut(strings.TrimPrefix(key, "yt:{"), "}")
+			counted[name] += float64(milli) / 1000
+		}
+	}
+	t := &Tally{}
+	for _, who := range customers(d.s) {
+		a, c := arrived[who.Name], counted[who.Name]
+		t.Arrived, t.Counted = t.Arrived+a, t.Counted+c
+		t.Below, t.Above = t.Below+max(0, a-c), t.Above+max(0, c-a)
+	}
+	return t
+}
+
 func count(rows map[string]*Row, name string, t *audit.Tried) {
 	row := rows[name]
 	if row == nil {
@@ -151,6 +195,10 @@
 		fmt.Fprintf(t, "%d %s\t%d\t%d\t\n", f.Rule, f.Name, f.Checked, len(f.Broken))
 	}
 	t.Flush()
+	if r.Tally != nil {
+		fmt.Fprintf(w, "\ncounter: %.0f units, %.0f arrived at servers; %.0f missing, %.0f more (sent, not arrived)\n", r.Tally.Counted,
+			r.Tally.Arrived, r.Tally.Below, r.Tally.Above)
+	}
 	const most = 10
 	for _, f := range r.Rules {
 		for i, b := range f.Broken {
--- a/day/run.go
+++ b/day/run.go
@@ -18,6 +18,7 @@
 	"yardcleat.example/yardcleat/audit"
 	"yardcleat.example/yardcleat/standin/authoriser"
 	"yardcleat.example/yardcleat/standin/catalogue"
+	"yardcleat.example/yardcleat/standin/counter"
 	"yardcleat.example/yardcleat/standin/discovery"
 	"yardcleat.example/yardcleat/standin/proxy"
 )
@@ -53,6 +54,9 @@
 	playing.Go(func() { d.progress(ctx, callers) })
 	callers.run(ctx, dur(s.Length))
 	playing.Wait()
+	if len(d.counters) > 0 {
+		sleep(ctx, 5*time.Second) // the last totals are added
+	}
 	for i, n := range d.nodes {
 		if err := n.End(); err != nil {
 			d.errs = append(d.errs, fmt.Errorf("node %d at its end: %w", i, err))
@@ -90,6 +94,8 @@
 	racks     []*catalogue.Rack
 	servers   []*box
 	auth      *authoriser.Server
+	counters  []*counter.Server
+	counterAt []string
 	discovery *discovery.Server
 	edsAddr   string
 	authAddr  string
@@ -186,6 +192,15 @@
 	if err := d.serve("authoriser", d.authAddr, d.auth.Serve, d.auth.Kill); err != nil {
 		return err
 	}
+	if s.Counter != nil {
+		for range s.Counter.Parts {
+			c, a := counter.New(), address()
+			d.counters, d.counterAt = append(d.counters, c), append(d.counterAt, a)
+			if err := d.serve("counter", a, c.Serve, c.Kill); err != nil {
+				return err
+			}
+		}
+	}
 	d.discovery = discovery.New("catalogue", dur(s.Servers.Late), func(t audit.Told) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -355,6 +370,11 @@
 	case "peers-lose":
 		share, _ := strconv.ParseFloat(f.Arg, 64)
 		during(func() error { d.lose(share); return nil }, func() error { d.lose(0); return nil })
+	case "counter-silent", "counter-refuse", "counter-lose", "counter-slow":
+		c := d.counters[f.Target]
+		during(func() error { return c.Do(strings.TrimPrefix(f.Kind, "counter-"), f.Arg) }, func() error { return c.Do("ok", "") })
+	case "counter-empty", "counter-save", "counter-restore", "counter-split", "counter-heal":
+		end(d.counters[f.Target].Do(strings.TrimPrefix(f.Kind, "counter-"), f.Arg))
 	default:
 		during(func() error { return server.Do(strings.TrimPrefix(f.Kind, "server-"), f.Arg) },
 			func() error { return server.Do("ok", "") })
@@ -484,7 +504,7 @@
 	var b bytes.Buffer
 	err = nodeConfig.Execute(&b, map[string]any{"S": d.s, "Number": i, "Zone": fmt.Sprint("room-", i%d.s.Servers.Racks),
 		"Dir": dir, "HTTP": d.http[i], "ExtAuthz": d.extAuthz[i], "Peer": d.peer[i], "Peers": peers, "Key": hex.EncodeToString(key[:]),
-		"Auth": d.authAddr, "EDS": d.edsAddr, "Customers": customers(d.s)})
+		"Auth": d.authAddr, "EDS": d.edsAddr, "Customers": customers(d.s), "Counters": d.counterAt})
 	return b.Bytes(), err
 }
 
@@ -564,5 +584,13 @@
   fall_multiple = {{.S.Servers.FallMultiple}}
   fall_time = "{{.S.Servers.FallTime}}"
 }
+{{if .Counters}}
+counter {
+  addresses = [{{range .Counters}}"{{.}}", {{end}}]
+  calls_per_second = {{.S.Counter.Calls}}
+  window = "1h"
+  keep = "24h"
+}
+{{end}}
 limits { answer_margin = "50ms" }
 `))
--- a/day/script.go
+++ b/day/script.go
@@ -4,30 +4,51 @@
 package day
 
 import (
-	_ "embed"
+	"embed"
 	"errors"
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/hclsimple"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
 )
 
-// Default is the script that is played where none is given.
-//
-//go:embed default.hcl
-var Default []byte
+//go:embed scripts
+var scripts embed.FS
+
+// Default names the script that is played where none is given.
+const Default = "default"
+
+// Names lists the scripts that come with the program.
+func Names() []string {
+	list, err := scripts.ReadDir("scripts")
+	if err != nil {
+		panic(err) // they are in the program
+	}
+	var names []string
+	for _, e := range list {
+		names = append(names, strings.TrimSuffix(e.Name(), ".hcl"))
+	}
+	return names
+}
+
+// Source is the text of a script that comes with the program.
+func Source(name string) ([]byte, error) { return scripts.ReadFile("scripts/" + name + ".hcl") }
 
 // Script is a day.
 type Script struct {
+	Extends   string   `hcl:"extends,optional"` // a script of the program, whose blocks and values come first
 	Length    Duration `hcl:"length"`
 	Seed      int      `hcl:"seed,optional"`
 	Nodes     int      `hcl:"nodes"`
 	Mail      float64  `hcl:"mail_per_second,optional"`
 	Servers   Servers  `hcl:"servers,block"`
 	Clients   Clients  `hcl:"clients,block"`
+	Counter   *Counter `hcl:"counter,block"`
 	Classes   []Class  `hcl:"class,block"`
 	Plans     []Plan   `hcl:"plan,block"`
 	Customers []Crowd  `hcl:"customers,block"`
@@ -51,6 +72,12 @@
 	Late         Duration `hcl:"told_late"`
 }
 
+// Counter describes the shared counter.
+type Counter struct {
+	Parts int     `hcl:"parts"`
+	Calls float64 `hcl:"calls_per_second"`
+}
+
 // Clients describes how clients behave.
 type Clients struct {
 	Retries int      `hcl:"retries"`
@@ -118,17 +145,41 @@
 	"peers-lose":        {"", "share"},
 	"authoriser-slow":   {"", "duration"},
 	"authoriser-silent": {"", ""},
+	"counter-silent":    {"part", ""},
+	"counter-refuse":    {"part", ""}, // connections and calls
+	"counter-lose":      {"part", ""}, // does what it is told, and answers nothing
+	"counter-slow":      {"part", "duration"},
+	"counter-empty":     {"part", ""}, // an empty one in its place
+	"counter-save":      {"part", ""},
+	"counter-restore":   {"part", ""}, // what was saved
+	"counter-split":     {"part", ""}, // even nodes on one side, odd ones on the other
+	"counter-heal":      {"part", "first, second or both"},
 }
 
 // Parse reads a script; the name is for messages.
 func Parse(src []byte, name string) (*Script, error) {
 	s := &Script{Seed: 1, Mail: 200}
-	if err := hclsimple.Decode(name, src, nil, s); err != nil {
-		var diags hcl.Diagnostics
-		if errors.As(err, &diags) {
-			return nil, errors.Join(diags.Errs()...)
+	p := hclparse.NewParser()
+	own, diags := p.ParseHCL(src, name)
+	if diags.HasErrors() {
+		return nil, errors.Join(diags.Errs()...)
+	}
+	files := []*hcl.File{own}
+	var head struct {
+		Extends string   `hcl:"extends,optional"`
+		Rest    hcl.Body `hcl:",remain"`
+	}
+	diags = gohcl.DecodeBody(own.Body, nil, &head)
+	if head.Extends != "" {
+		base, err := Source(head.Extends)
+		if err != nil {
+			return nil, fmt.Errorf("%s: extends %q; there are %s", name, head.Extends, strings.Join(Names(), ", "))
 		}
-		return nil, err
+		f, more := p.ParseHCL(base, head.Extends+".hcl")
+		files, diags = append([]*hcl.File{f}, files...), append(diags, more...)
+	}
+	if diags = append(diags, gohcl.DecodeBody(hcl.MergeFiles(files), nil, s)...); diags.HasErrors() {
+		return nil, errors.Join(diags.Errs()...)
 	}
 	return s, s.check(name)
 }
@@ -140,6 +191,10 @@
 	}
 	durations := map[string]string{"length": s.Length, "warm_within": s.Servers.WarmWithin, "fall_time": s.Servers.FallTime,
 		"drain_grace": s.Servers.Grace, "told_late": s.Servers.Late, "wait": s.Clients.Wait}
+	parts := 0
+	if s.Counter != nil {
+		parts = s.Counter.Parts
+	}
 	for i, f := range s.Faults {
 		k, known := kinds[f.Kind]
 		if !known {
@@ -147,7 +202,7 @@
 		}
 		durations[fmt.Sprintf("fault %d %q: at", i, f.Kind)] = f.At
 		durations[fmt.Sprintf("fault %d %q: for", i, f.Kind)] = f.For
-		if n := map[string]int{"node": s.Nodes, "server": s.Servers.Count, "": 1}[k.target]; f.Target < 0 || f.Target >= n {
+		if n := map[string]int{"node": s.Nodes, "server": s.Servers.Count, "part": parts, "": 1}[k.target]; f.Target < 0 || f.Target >= n {
 			wrong("fault %q: target %d; the %ss are numbered 0 to %d", f.Kind, f.Target, k.target, n-1)
 		}
 		switch k.arg {
@@ -157,6 +212,10 @@
 			}
 		case "duration":
 			durations[fmt.Sprintf("fault %d %q: arg", i, f.Kind)] = f.Arg
+		case "first, second or both":
+			if !slices.Contains([]string{"first", "second", "both"}, f.Arg) {
+				wrong("fault %q: arg %q is not first, second or both", f.Kind, f.Arg)
+			}
 		case "class":
 			if !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == f.Arg }) {
 				wrong("fault %q: there is no class %q", f.Kind, f.Arg)
--- /dev/null
+++ b/day/scripts/counter-empty.hcl
@@ -0,0 +1,22 @@
+# An empty replacement at the peak, with nodes restarting at the same moment.
+
+extends = "base"
+
+fault "counter-empty" {
+  at     = "10s"
+  target = 0
+}
+fault "counter-empty" {
+  at     = "10s"
+  target = 1
+}
+fault "node-kill" {
+  at     = "10s"
+  for    = "1s"
+  target = 0
+}
+fault "node-kill" {
+  at     = "10s"
+  for    = "1500ms"
+  target = 1
+}
--- /dev/null
+++ b/day/scripts/counter-lose.hcl
@@ -0,0 +1,19 @@
+# Adds are done and their answers lost; then a node is killed.
+
+extends = "base"
+
+fault "counter-lose" {
+  at     = "8s"
+  for    = "6s"
+  target = 0
+}
+fault "counter-lose" {
+  at     = "8s"
+  for    = "6s"
+  target = 1
+}
+fault "node-kill" {
+  at     = "13s"
+  for    = "1s"
+  target = 2
+}
--- /dev/null
+++ b/day/scripts/counter-silent.hcl
@@ -0,0 +1,22 @@
+# Both parts silent for 15 s, back empty.
+
+extends = "base"
+
+fault "counter-silent" {
+  at     = "8s"
+  for    = "15s"
+  target = 0
+}
+fault "counter-silent" {
+  at     = "8s"
+  for    = "15s"
+  target = 1
+}
+fault "counter-empty" {
+  at     = "23s"
+  target = 0
+}
+fault "counter-empty" {
+  at     = "23s"
+  target = 1
+}
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"runtime"
 	"testing"
 	"time"
 
@@ -392,6 +393,72 @@
 	})
 }
 
+// A fault of one part touches the names on it alone.
+func TestOnePart(t *testing.T) {
+	s := Settings{Me: Owner{0, 1}, Parts: 2, Window: time.Hour, Keep: 5, Calls: 100, Mail: 5, Rates: map[string]Plan{"p": {10, 20}}}
+	tl := New(s)
+	parts := []*holds{newHolds("1"), newHolds("1")}
+	now := epoch0
+	passed := map[string]Milli{}
+	var carry func(acts []Action)
+	silent := -1
+	var notes []Note
+	carry = func(acts []Action) {
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Call:
+				ans := Answer{Failed: true}
+				if a.Part != silent {
+					ans = parts[a.Part].do(a)
+				}
+				carry(tl.Answered(now, a.ID, ans))
+			case Note:
+				notes = append(notes, a)
+			}
+		}
+	}
+	run := func() {
+		for i := range 50 {
+			now = now.Add(100 * time.Millisecond)
+			name := fmt.Sprint("c", i%10)
+			carry(tl.Seen(now, name, "p", []int{0, 1}))
+			tl.Passed(now, name, "p", []int{0, 1}, 1)
+			passed[name] += 1000
+			carry(tl.Tick(now))
+		}
+	}
+	check := func(skip int) {
+		t.Helper()
+		k := Key{Window: tl.window(now)}
+		for name, want := range passed {
+			k.Customer = name
+			if p := tl.Part(name); p != skip {
+				if got := parts[p].regs[k][s.Me]; got != want {
+					t.Errorf("%s on part %d: %d, %d passed", name, p, got, want)
+				}
+			}
+		}
+	}
+	run()
+	check(-1)
+	silent = 1
+	run()
+	check(1)
+	if tl.State(0) != Sound || tl.State(1) != Silent {
+		t.Errorf("states %v, %v", tl.State(0), tl.State(1))
+	}
+	silent = -1
+	parts[1] = newHolds("2")
+	run()
+	run()
+	check(-1)
+	for _, n := range notes {
+		if n.Part == 0 && n.State != Sound {
+			t.Errorf("%+v", n)
+		}
+	}
+}
+
 // Calls keep to the budget, however many customers there are.
 func TestBudget(t *testing.T) {
 	s := Settings{Me: Owner{0, 1}, Parts: 2, Window: time.Minute, Keep: 5, Calls: 50, Mail: 5, Rates: map[string]Plan{"p": {1, 5}}}
@@ -429,6 +496,9 @@
 	for _, customers := range []int{1000, 100_000} {
 		b.Run(fmt.Sprint(customers), func(b *testing.B) {
 			s := Settings{Me: Owner{0, 1}, Parts: 2, Window: time.Hour, Keep: 5, Calls: 50, Mail: 5, Rates: map[string]Plan{"p": {1, 5}}}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			tl := New(s)
 			now := epoch0
 			names := make([]string, customers)
@@ -447,6 +517,9 @@
 			}
 			tl.wanting, tl.untold, tl.recent = nil, nil, nil
 			now = now.Add(time.Minute) // idle since
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			perCustomer := float64(after.HeapAlloc-before.HeapAlloc) / float64(customers)
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
@@ -465,6 +538,7 @@
 					}
 				}
 			}
+			b.ReportMetric(perCustomer, "B/customer")
 		})
 	}
 }
