--- a/authz/authz.go
+++ b/authz/authz.go
@@ -1,10 +1,17 @@
 // Package authz decides how the external authorisation service is asked: whether
-// a request is put to it, how long it may take, how many Checks may be out, and
-// what becomes of a request that it gave no answer for. It has no I/O: the node
-// tells it what happens and does what it says. The gRPC client is in authz/client.
+// a request is put to it, by which of its addresses, how long it may take, how
+// many Checks may be out, who waits and who goes first, when an address is left
+// alone, and what stands in for an answer that does not come. It has no I/O:
+// events in, actions out, time passed in, chance from a seed. The gRPC client is
+// in authz/client. It is not safe for concurrent use.
 package authz
 
-import "time"
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
 
 // Mode says what a class wants of the authoriser.
 type Mode int
@@ -32,71 +39,550 @@
 
 // The steps.
 const (
-	Ask         Step = iota // send a Check
-	Pass                    // give it to the module
+	Pass        Step = iota // give it to the module
 	Deny                    // answer with the authoriser's denial
 	RefuseLate              // refuse: no answer in time
 	RefuseError             // refuse: the authoriser can't be reached
+	RefuseQuota             // refuse: its customer asks far beyond its quota
 )
 
 // Tuned values.
 const (
-	// most of the client's remaining time that a Check may take: an attempt at
-	// the servers, and a refusal's way back, need the rest.
-	remainingPart = 0.5
-	leastBudget   = 2 * time.Millisecond // less is not worth asking for
+	firstNeed   = 0.25 // of its aim that an attempt at the servers is guessed to need
+	needLearn   = 0.05 // weight of an attempt in that
+	needTimes   = 1.5  // an attempt is left so many times what it needs
+	leastBudget = 2 * time.Millisecond
+
+	floorLimit   = 4.0  // Checks out at an address at least
+	startLimit   = 16.0 // and at first
+	slowTimes    = 3.0  // an answer this much slower than the quickest shows a queue
+	slowLeast    = 5 * time.Millisecond
+	shrinkSlow   = 0.95 // the limit after a slow answer,
+	shrinkFail   = 0.7  // and after none
+	baseForget   = 0.01 // how fast the quickest answer is forgotten
+	latencyLearn = 0.2
+
+	openAfter   = 5                      // failures in a row, and no answer for two time-outs, leave an address alone
+	openFirst   = 250 * time.Millisecond // for this long, doubled up to
+	openMost    = 4 * time.Second
+	closedAfter = 3 // trials in a row that end that
+
+	mostTries   = 2    // Checks for one request, one at a time
+	firstPart   = 0.5  // of the budget that the first of two may take
+	mostWaiting = 4096 // requests waiting; more have no answer at once
+	beyondRate  = 2.0  // a customer asks beyond its quota at this many times its plan's rate
+	mostMemory  = 65536
 )
 
-// Decider decides for one node. It is not safe for concurrent use.
+// Class is what the decisions need to know of a class.
+type Class struct {
+	Mode     Mode
+	Aim      time.Duration
+	Worth    float64       // of a request, against others
+	Remember time.Duration // an answer stands in for so long where it states no life
+}
+
+// Plan bounds a customer's use.
+type Plan struct{ Rate, Burst float64 }
+
+// Settings is what a Decider is told at its start.
+type Settings struct {
+	Classes map[string]Class
+	Plans   map[string]Plan
+	Targets int           // addresses of the service
+	Timeout time.Duration // most time one Check may take
+	Most    int           // most Checks out at one address
+	Seed    uint64
+}
+
+// Request is put to the decisions before the module hears of it.
+type Request struct {
+	ID        uint64
+	Class     string
+	Customer  string
+	Plan      string
+	Resource  string // what is asked for; with the customer, the name of an answer
+	Remaining time.Duration
+}
+
+// Answer is how a Check ended.
+type Answer struct {
+	Verdict Verdict
+	Latency time.Duration
+	Life    time.Duration // stated by the authoriser for its answer; 0: not stated
+	Kept    any           // the caller's, given back where the answer stands in
+}
+
+// Action is something a Decider wants done.
+type Action interface{ action() }
+
+// Check asks an address. Answered must follow, unless Cancel comes first.
+type Check struct {
+	ID     uint64
+	Try    int
+	Target int
+	Budget time.Duration
+}
+
+// Cancel ends a Check; nothing follows.
+type Cancel struct{ ID uint64 }
+
+// Settle says what is to be done with a request. Kept is of an earlier answer,
+// where that stands in.
+type Settle struct {
+	ID      uint64
+	Step    Step
+	Kept    any
+	StoodIn bool // an earlier answer, or the class's default, stands in
+}
+
+// Wake asks for Tick after a time.
+type Wake struct{ After time.Duration }
+
+// Note is for the operators.
+type Note struct {
+	Target int
+	Text   string
+}
+
+func (Check) action()  {}
+func (Cancel) action() {}
+func (Settle) action() {}
+func (Wake) action()   {}
+func (Note) action()   {}
+
+type request struct {
+	Request
+	class    *class
+	began    time.Time
+	deadline time.Time
+	give     time.Time // without an answer by then, what stands in decides
+	beyond   bool
+	tries    int
+	target   int // of the Check out; -1: it waits
+	last     int
+	queued   bool
+	failed   bool // an address could not be reached
+}
+
+type class struct {
+	Class
+	need float64 // seconds an attempt takes
+}
+
+// target is one address.
+type target struct {
+	num      int
+	out      int
+	limit    float64
+	base     float64 // seconds the quickest answers take
+	latency  float64
+	failures int       // in a row
+	okAt     time.Time // its last answer
+	open     time.Time
+	wait     time.Duration
+	trials   int // good ones while it is tried again; -1: it is not
+	trying   bool
+}
+
+type memory struct {
+	verdict Verdict
+	until   time.Time
+	kept    any
+}
+
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
+// Decider decides for one node.
 type Decider struct {
-	modes   map[string]Mode // by class
-	timeout time.Duration   // most time one Check may take
-	most    int             // most Checks out
-	out     int
+	set     Settings
+	rng     *rand.Rand
+	classes map[string]*class
+	targets []*target
+	reqs    map[uint64]*request
+	waiting []*request
+	memory  map[string]*memory
+	buckets map[string]*bucket
+	woken   time.Time // a Tick comes then
+	acts    []Action
+	now     time.Time
+}
+
+// New returns a Decider.
+func New(s Settings) *Decider {
+	d := &Decider{set: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), classes: map[string]*class{}, reqs: map[uint64]*request{},
+		memory: map[string]*memory{}, buckets: map[string]*bucket{}}
+	for name, c := range s.Classes {
+		d.classes[name] = &class{c, firstNeed * c.Aim.Seconds()}
+	}
+	for i := range s.Targets {
+		d.targets = append(d.targets, &target{num: i, limit: min(startLimit, float64(max(1, s.Most))), trials: -1})
+	}
+	return d
 }
 
-// New returns a Decider for classes and their modes.
-func New(modes map[string]Mode, timeout time.Duration, most int) *Decider {
-	return &Decider{modes: modes, timeout: timeout, most: most}
+// Out is the number of Checks out, Waiting of requests that wait for one.
+func (d *Decider) Out() (n int) {
+	for _, t := range d.targets {
+		n += t.out
+	}
+	return n
 }
 
-// Out is the number of Checks out.
-func (d *Decider) Out() int { return d.out }
+// Waiting is the number of requests that wait for a Check.
+func (d *Decider) Waiting() int { return len(d.waiting) }
+
+func (d *Decider) do(a Action) { d.acts = append(d.acts, a) }
 
-// Begin is told of a request with the time its client still waits. Where the
-// step is Ask, a Check is to be sent that may take as long as the budget, and
-// End must follow.
-func (d *Decider) Begin(class string, remaining time.Duration) (step Step, budget time.Duration) {
-	if d.modes[class] == Skip {
-		return Pass, 0
+// Begin is told of a request.
+func (d *Decider) Begin(now time.Time, r Request) []Action {
+	d.now, d.acts = now, nil
+	c := d.classes[r.Class]
+	if c == nil || c.Mode == Skip {
+		d.do(Settle{ID: r.ID, Step: Pass})
+		return d.acts
+	}
+	q := &request{Request: r, class: c, began: now, deadline: now.Add(r.Remaining), target: -1, last: -1}
+	// What an attempt at the servers needs is left for it.
+	budget := min(d.set.Timeout, r.Remaining-time.Duration(needTimes*c.need*float64(time.Second)))
+	q.give = now.Add(budget)
+	q.beyond = d.far(r)
+	d.reqs[r.ID] = q
+	switch {
+	case budget < leastBudget:
+		d.without(q)
+	case q.beyond && len(d.waiting) > 0:
+		// The authoriser is short: it is not for those who ask too much.
+		d.settle(q, Settle{Step: RefuseQuota})
+	case len(d.waiting) >= mostWaiting:
+		d.without(q)
+	default:
+		d.queue(q)
+		d.start()
 	}
-	budget = min(d.timeout, time.Duration(remainingPart*float64(remaining)))
-	if budget < leastBudget || d.out >= d.most {
-		return d.without(class, Late), 0
+	d.wake(q)
+	return d.acts
+}
+
+// queue puts a request among those that wait: inside their quotas first, by
+// worth, those that can't do without an answer, the oldest first.
+func (d *Decider) queue(q *request) {
+	i, _ := slices.BinarySearchFunc(d.waiting, q, func(a, b *request) int {
+		if a.beyond != b.beyond {
+			if a.beyond {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.class.Worth, a.class.Worth), cmp.Compare(a.class.Mode, b.class.Mode), a.began.Compare(b.began), cmp.Compare(a.ID, b.ID))
+	})
+	d.waiting = slices.Insert(d.waiting, i, q)
+	q.queued = true
+}
+
+// leave takes a request out of those that wait.
+func (d *Decider) leave(q *request) {
+	if i := slices.Index(d.waiting, q); q.queued && i >= 0 {
+		d.waiting = slices.Delete(d.waiting, i, i+1)
 	}
-	d.out++
-	return Ask, budget
+	q.queued = false
 }
 
-// End is told how a request's Check ended, also when its client has left.
-func (d *Decider) End(class string, v Verdict) Step {
-	d.out--
-	switch v {
-	case Allowed:
-		return Pass
-	case Denied:
-		return Deny
+// far tells whether a customer asks far beyond its plan's rate.
+func (d *Decider) far(r Request) bool {
+	p := d.set.Plans[r.Plan]
+	if p.Rate <= 0 {
+		return false
+	}
+	most := max(1, p.Burst)
+	b := d.buckets[r.Customer]
+	if b == nil {
+		b = &bucket{most, d.now}
+		d.buckets[r.Customer] = b
 	}
-	return d.without(class, v)
+	b.level = min(most, b.level+beyondRate*p.Rate*d.now.Sub(b.at).Seconds())
+	b.at = d.now
+	if b.level < 1 {
+		return true
+	}
+	b.level--
+	return false
 }
 
-// without decides on a request that has no answer.
-func (d *Decider) without(class string, v Verdict) Step {
+// start sends Checks for those that wait, as far as the addresses may be asked.
+func (d *Decider) start() {
+	for len(d.waiting) > 0 {
+		q := d.waiting[0]
+		t := d.pick(q)
+		if t == nil {
+			if d.closed() { // no address is to be asked: nobody waits for nothing
+				all := d.waiting
+				d.waiting = nil
+				for _, q := range all {
+					q.queued, q.failed = false, true
+					d.without(q)
+				}
+			}
+			return
+		}
+		d.waiting, q.queued = slices.Delete(d.waiting, 0, 1), false
+		budget := q.give.Sub(d.now)
+		if budget < leastBudget {
+			d.without(q)
+			continue
+		}
+		// While another address answers well, a first Check leaves time for one there.
+		if q.tries == 0 && d.spare(t) {
+			budget = time.Duration(firstPart * float64(budget))
+		}
+		q.tries++
+		q.target, q.last = t.num, t.num
+		t.out++
+		if t.trials >= 0 {
+			t.trying = true
+		}
+		d.do(Check{ID: q.ID, Try: q.tries - 1, Target: t.num, Budget: budget})
+	}
+}
+
+// closed tells whether all addresses are left alone.
+func (d *Decider) closed() bool {
+	return !slices.ContainsFunc(d.targets, func(t *target) bool { return !d.now.Before(t.open) })
+}
+
+// spare tells whether an address other than one answers well.
+func (d *Decider) spare(but *target) bool {
+	return slices.ContainsFunc(d.targets, func(t *target) bool {
+		return t != but && !d.now.Before(t.open) && t.failures == 0 && t.trials < 0
+	})
+}
+
+// pick chooses an address that may take one more: the one expected to answer
+// first. One tried again takes one at a time.
+func (d *Decider) pick(q *request) *target {
+	var best *target
+	low := 0.0
+	for _, t := range d.targets {
+		if d.now.Before(t.open) || t.trying || float64(t.out) >= max(1, t.limit) || t.num == q.last && len(d.targets) > 1 {
+			continue
+		}
+		score := (t.latency + 1e-4) * float64(1+t.out) * (1 + float64(t.failures)) * (0.9 + 0.2*d.rng.Float64())
+		if best == nil || score < low {
+			best, low = t, score
+		}
+	}
+	return best
+}
+
+// Answered is told how a Check ended.
+func (d *Decider) Answered(now time.Time, id uint64, try int, a Answer) []Action {
+	d.now, d.acts = now, nil
+	q := d.reqs[id]
+	if q == nil || q.target < 0 || try != q.tries-1 {
+		return nil
+	}
+	t := d.targets[q.target]
+	d.release(q)
+	d.learn(t, a)
+	switch a.Verdict {
+	case Allowed, Denied:
+		if life := cmp.Or(a.Life, q.class.Remember); life > 0 {
+			d.remember(q, a, life)
+		}
+		step := Pass
+		if a.Verdict == Denied {
+			step = Deny
+		}
+		d.settle(q, Settle{Step: step})
+	default:
+		q.failed = q.failed || a.Verdict == Unreachable
+		// One that failed may be asked again elsewhere: a Check has no effect.
+		if q.tries < mostTries && q.give.Sub(now) >= leastBudget && d.spare(t) {
+			d.queue(q)
+		} else {
+			d.without(q)
+		}
+	}
+	d.start()
+	d.wake(nil)
+	return d.acts
+}
+
+// release takes a request's Check off its address.
+func (d *Decider) release(q *request) {
+	t := d.targets[q.target]
+	t.out--
+	q.target = -1
+}
+
+// learn moves an address's limit by its answers: up by one for each limit's worth
+// of quick ones, down when they slow against the quickest or don't come.
+func (d *Decider) learn(t *target, a Answer) {
+	good := a.Verdict == Allowed || a.Verdict == Denied
+	trial := t.trying
+	t.trying = false
+	if !good {
+		t.failures++
+		t.limit = max(floorLimit, t.limit*shrinkFail)
+		if quiet := d.now.Sub(t.okAt) > 2*d.set.Timeout; trial || t.failures >= openAfter && quiet {
+			if t.trials < 0 {
+				d.do(Note{t.num, "authoriser left alone after failures in a row"})
+			}
+			t.wait = min(openMost, max(openFirst, 2*t.wait))
+			t.open = d.now.Add(time.Duration((0.8 + 0.4*d.rng.Float64()) * float64(t.wait)))
+			t.trials, t.failures = 0, 0
+		}
+		return
+	}
+	lat := a.Latency.Seconds()
+	t.failures, t.okAt = 0, d.now
+	t.latency += latencyLearn * (lat - t.latency)
+	if t.base == 0 || lat < t.base {
+		t.base = lat
+	}
+	t.base += baseForget * (lat - t.base)
+	if lat > max(slowTimes*t.base, t.base+slowLeast.Seconds()) {
+		t.limit = max(floorLimit, t.limit*shrinkSlow)
+	} else if float64(t.out) >= t.limit/2 {
+		t.limit = min(float64(d.set.Most), t.limit+1/t.limit)
+	}
+	if t.trials >= 0 {
+		if t.trials++; t.trials >= closedAfter {
+			t.trials, t.wait = -1, 0
+			t.limit = floorLimit // it grows from there: no flood
+			d.do(Note{t.num, "authoriser answers again"})
+		}
+	}
+}
+
+func (r Request) key() string { return r.Customer + "\x00" + r.Class + "\x00" + r.Resource }
+
+func (d *Decider) remember(q *request, a Answer, life time.Duration) {
+	if len(d.memory) >= mostMemory {
+		for k, m := range d.memory { // any that is over, else any
+			if delete(d.memory, k); m.until.Before(d.now) || len(d.memory) < mostMemory {
+				break
+			}
+		}
+	}
+	d.memory[q.key()] = &memory{verdict: a.Verdict, until: d.now.Add(life), kept: a.Kept}
+}
+
+// without decides on a request that has no answer: a recent one stands in, else
+// the class's default.
+func (d *Decider) without(q *request) {
+	d.leave(q)
+	if m := d.memory[q.key()]; m != nil && d.now.Before(m.until) {
+		step := Pass
+		if m.verdict == Denied {
+			step = Deny
+		}
+		d.settle(q, Settle{Step: step, Kept: m.kept, StoodIn: true})
+		return
+	}
 	switch {
-	case d.modes[class] == Allow:
-		return Pass
-	case v == Late:
-		return RefuseLate
+	case q.class.Mode == Allow:
+		d.settle(q, Settle{Step: Pass, StoodIn: true})
+	case q.failed:
+		d.settle(q, Settle{Step: RefuseError})
+	default:
+		d.settle(q, Settle{Step: RefuseLate})
+	}
+}
+
+func (d *Decider) settle(q *request, s Settle) {
+	s.ID = q.ID
+	delete(d.reqs, q.ID)
+	d.do(s)
+}
+
+// Gone is told that a request needs no decision any more.
+func (d *Decider) Gone(now time.Time, id uint64) []Action {
+	d.now, d.acts = now, nil
+	q := d.reqs[id]
+	if q == nil {
+		return nil
+	}
+	delete(d.reqs, id)
+	if q.target >= 0 {
+		t := d.targets[q.target]
+		t.trying = false
+		d.release(q)
+		d.do(Cancel{id})
+	}
+	d.leave(q)
+	d.start()
+	d.wake(nil)
+	return d.acts
+}
+
+// Tick is to be called when Wake asked for it: those out of time have no answer.
+func (d *Decider) Tick(now time.Time) []Action {
+	d.now, d.acts = now, nil
+	if !now.Before(d.woken) {
+		d.woken = time.Time{}
+	}
+	var over []*request
+	d.waiting = slices.DeleteFunc(d.waiting, func(q *request) bool {
+		late := q.give.Sub(now) < leastBudget
+		if late {
+			q.queued = false
+			over = append(over, q)
+		}
+		return late
+	})
+	for _, q := range over {
+		d.without(q)
+	}
+	d.start()
+	d.wake(nil)
+	return d.acts
+}
+
+// wake asks for a Tick when the first that waits is out of time, or an address
+// may be tried again.
+func (d *Decider) wake(added *request) {
+	if len(d.waiting) == 0 || !d.woken.IsZero() && (added == nil || !added.give.Before(d.woken)) {
+		return
+	}
+	next := d.waiting[0].give
+	for _, q := range d.waiting {
+		if q.give.Before(next) {
+			next = q.give
+		}
+	}
+	next = next.Add(-leastBudget)
+	for _, t := range d.targets {
+		if d.now.Before(t.open) && t.open.Before(next) {
+			next = t.open
+		}
+	}
+	if d.woken.IsZero() || next.Before(d.woken) {
+		d.woken = next
+		d.do(Wake{max(0, next.Sub(d.now)) + time.Millisecond})
+	}
+}
+
+// Took teaches how long an attempt of a class takes at the servers.
+func (d *Decider) Took(class string, latency time.Duration) {
+	if c := d.classes[class]; c != nil {
+		c.need += needLearn * (min(latency.Seconds(), c.Aim.Seconds()) - c.need)
+	}
+}
+
+// Forget drops what is over; it is to be called now and then.
+func (d *Decider) Forget(now time.Time) {
+	for k, m := range d.memory {
+		if m.until.Before(now) {
+			delete(d.memory, k)
+		}
+	}
+	for k, b := range d.buckets {
+		if now.Sub(b.at) > time.Minute {
+			delete(d.buckets, k)
+		}
 	}
-	return RefuseError
 }
--- a/authz/client/client.go
+++ b/authz/client/client.go
@@ -23,37 +23,61 @@
 	"yardcleat.example/yardcleat/node"
 )
 
-// Client asks one authoriser. It is a node.Authoriser.
-type Client struct {
+// Client asks an authorisation service by its addresses. It is a
+// node.Authoriser.
+type Client struct{ targets []target }
+
+type target struct {
 	cc   *grpc.ClientConn
 	auth authv3.AuthorizationClient
 }
 
-// Dial makes a client for an address. It connects when first used, and again
-// within a second once the authoriser is back.
-func Dial(n network.Network, address string) (*Client, error) {
+// MetadataLife is the name in dynamic_metadata under which an authoriser states,
+// in milliseconds, how long its answer may stand in where it gives none.
+const MetadataLife = "cache_ttl_ms"
+
+// Dial makes a client for addresses. It connects when first used, and again
+// within a second once an authoriser is back.
+func Dial(n network.Network, addresses []string) (*Client, error) {
+	c := &Client{}
+	for _, a := range addresses {
+		t, err := dial(n, a)
+		if err != nil {
+			c.Close()
+			return nil, err
+		}
+		c.targets = append(c.targets, t)
+	}
+	return c, nil
+}
+
+func dial(n network.Network, address string) (target, error) {
 	cc, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) { return n.Dial(ctx, addr) }),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
 			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}))
 	if err != nil {
-		return nil, err
+		return target{}, err
 	}
-	return &Client{cc, authv3.NewAuthorizationClient(cc)}, nil
+	return target{cc, authv3.NewAuthorizationClient(cc)}, nil
 }
 
-// Close ends the connection; Checks under way fail.
-func (c *Client) Close() error { return c.cc.Close() }
+// Close ends the connections; Checks under way fail.
+func (c *Client) Close() {
+	for _, t := range c.targets {
+		t.cc.Close()
+	}
+}
 
 // Check asks for a try; see node.Authoriser. The budget goes on the wire as
 // grpc-timeout.
-func (c *Client) Check(t *node.Try, budget time.Duration, done func(node.Checked)) (cancel func()) {
+func (c *Client) Check(num int, t *node.Try, budget time.Duration, done func(node.Checked)) (cancel func()) {
 	ctx, stop := context.WithTimeout(context.Background(), budget)
 	req := request(t)
 	go func() {
 		defer stop()
-		resp, err := c.auth.Check(ctx, req)
+		resp, err := c.targets[num].auth.Check(ctx, req)
 		if ctx.Err() == context.Canceled {
 			return
 		}
@@ -93,7 +117,7 @@
 	}
 	if resp.GetStatus().GetCode() == int32(codes.OK) {
 		ok := resp.GetOkResponse()
-		c := node.Checked{Verdict: authz.Allowed}
+		c := node.Checked{Verdict: authz.Allowed, Life: life(resp)}
 		for _, h := range ok.GetHeaders() {
 			put(h, &c.Set, &c.Append)
 		}
@@ -112,7 +136,12 @@
 	for _, h := range denied.GetHeaders() {
 		put(h, &res.Header, &res.Header)
 	}
-	return node.Checked{Verdict: authz.Denied, Denial: res}
+	return node.Checked{Verdict: authz.Denied, Denial: res, Life: life(resp)}
+}
+
+func life(resp *authv3.CheckResponse) time.Duration {
+	v := resp.GetDynamicMetadata().GetFields()[MetadataLife].GetNumberValue()
+	return time.Duration(min(max(v, 0), 24*3600*1000)) * time.Millisecond
 }
 
 // put adds an authoriser's field to those that replace or to those that add.
--- a/config/config.go
+++ b/config/config.go
@@ -57,7 +57,9 @@
 type Class struct {
 	policy.Class
 	Units         float64
+	Worth         float64 // against other classes
 	Authorisation Authorisation
+	Remember      time.Duration // an authoriser's answer stands in for so long where it gives none; 0: never
 	Routes        []Route
 }
 
@@ -121,9 +123,9 @@
 
 // Authoriser is the external authorisation service.
 type Authoriser struct {
-	Address string
-	Timeout time.Duration // most time one Check may take
-	MostOut int           // most Checks out at once
+	Addresses []string
+	Timeout   time.Duration // most time one Check may take
+	MostOut   int           // most Checks out at once at one address
 }
 
 // Counter is the shared counter, of one or several parts, on RESP.
--- a/config/load.go
+++ b/config/load.go
@@ -72,7 +72,9 @@
 		Aim           hcl.Expression `hcl:"aim"`
 		Deadline      hcl.Expression `hcl:"deadline"`
 		Units         hcl.Expression `hcl:"units,optional"`
+		Worth         hcl.Expression `hcl:"worth,optional"`
 		Authorisation hcl.Expression `hcl:"authorisation,optional"`
+		Remember      hcl.Expression `hcl:"remember,optional"`
 		Routes        []routeBlock   `hcl:"route,block"`
 	}
 	routeBlock struct {
@@ -139,9 +141,11 @@
 		Header hcl.Expression `hcl:"header"`
 	}
 	authoriserBlock struct {
-		Address hcl.Expression `hcl:"address"`
-		Timeout hcl.Expression `hcl:"timeout,optional"`
-		MostOut hcl.Expression `hcl:"most_out,optional"`
+		Address   hcl.Expression `hcl:"address,optional"`
+		Addresses hcl.Expression `hcl:"addresses,optional"`
+		DefRange  hcl.Range      `hcl:",def_range"`
+		Timeout   hcl.Expression `hcl:"timeout,optional"`
+		MostOut   hcl.Expression `hcl:"most_out,optional"`
 	}
 	counterBlock struct {
 		Addresses hcl.Expression `hcl:"addresses"`
@@ -442,6 +446,8 @@
 			l.wrong(b.Deadline.Range(), "Deadline before aim", "The deadline must be at least the aim, %v.", c.Aim)
 		}
 		c.Units = l.number(b.Units, 1, 1, 1000)
+		c.Worth = l.number(b.Worth, 1, 0, 1e6)
+		c.Remember = l.duration(b.Remember, 0, 0, 24*time.Hour)
 		c.Authorisation = oneOf(l, b.Authorisation, Skip, Skip, RefuseClass, AllowClass)
 		if len(b.Routes) == 0 {
 			l.wrong(b.NameRange, "No route", `A class needs at least one route, such as: route { method = "GET", path = "/records/{id}" }.`)
@@ -644,9 +650,31 @@
 		}
 		return
 	}
-	l.cfg.Authoriser = &Authoriser{Address: l.address(b.Address),
-		Timeout: l.duration(b.Timeout, 200*time.Millisecond, time.Millisecond, time.Minute),
-		MostOut: l.whole0(b.MostOut, 1000, 1, 1e6)}
+	a := &Authoriser{Addresses: l.addresses(b.Addresses)}
+	if one := l.address(b.Address); one != "" {
+		a.Addresses = append(a.Addresses, one)
+	}
+	if len(a.Addresses) == 0 {
+		l.wrong(b.DefRange, "No address", "Give address, or addresses for several of one service.")
+	}
+	a.Timeout, a.MostOut = l.duration(b.Timeout, 200*time.Millisecond, time.Millisecond, time.Minute), l.whole0(b.MostOut, 1000, 1, 1e6)
+	l.cfg.Authoriser = a
+}
+
+// addresses is a list of addresses.
+func (l *loader) addresses(e hcl.Expression) (list []string) {
+	v, ok := l.value(e, cty.List(cty.String), "A list of addresses")
+	if !ok {
+		return nil
+	}
+	for _, a := range v.AsValueSlice() {
+		if a.IsNull() || l.badAddress(a.AsString()) {
+			l.wrong(e.Range(), "Not an address", `An address is a host and a port, such as "127.0.0.1:6379".`)
+			continue
+		}
+		list = append(list, a.AsString())
+	}
+	return list
 }
 
 func (l *loader) counter(in *counterBlock) {
@@ -655,17 +683,8 @@
 	}
 	c := &Counter{Calls: l.number(in.Calls, 500, 1, 1e6), Limit: l.duration(in.Limit, 80*time.Millisecond, time.Millisecond, time.Minute),
 		Window: l.duration(in.Window, time.Minute, time.Second, 24*time.Hour), Keep: l.duration(in.Keep, time.Hour, time.Second, 30*24*time.Hour)}
-	if v, ok := l.value(in.Addresses, cty.List(cty.String), "A list of addresses"); ok {
-		for _, a := range v.AsValueSlice() {
-			if a.IsNull() || l.badAddress(a.AsString()) {
-				l.wrong(in.Addresses.Range(), "Not an address", `An address is a host and a port, such as "127.0.0.1:6379".`)
-				continue
-			}
-			c.Addresses = append(c.Addresses, a.AsString())
-		}
-		if len(v.AsValueSlice()) == 0 {
-			l.wrong(in.Addresses.Range(), "No address", "At least one part of the counter is needed.")
-		}
+	if c.Addresses = l.addresses(in.Addresses); len(c.Addresses) == 0 {
+		l.wrong(in.Addresses.Range(), "No address", "At least one part of the counter is needed.")
 	}
 	if c.Keep < 2*c.Window {
 		l.wrong(l.rangeOf(in.Keep, in.Addresses), "Kept too shortly", "Totals must be kept for at least two windows, %v.", 2*c.Window)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,12 +76,12 @@
 	g.closes = append(g.closes, pool.Close)
 	opt.Upstream = pool
 	if a := cfg.Authoriser; a != nil {
-		c, err := client.Dial(o.Network, a.Address)
+		c, err := client.Dial(o.Network, a.Addresses)
 		if err != nil {
 			return g, fmt.Errorf("authoriser: %w", err)
 		}
-		g.closes = append(g.closes, func() { c.Close() })
-		opt.Authoriser, opt.Authz = c, authz.New(modes(cfg), a.Timeout, a.MostOut)
+		g.closes = append(g.closes, c.Close)
+		opt.Authoriser, opt.Authz = c, authz.New(authzSettings(cfg, o.Seed))
 	}
 	inc, err := peer.Incarnation(cfg.StateDir, opt.Base)
 	if err != nil {
@@ -190,14 +190,19 @@
 	return http1.Limits{Line: l.Line, Fields: l.Fields, Header: l.Header, Body: body}
 }
 
-func modes(cfg *config.Config) map[string]authz.Mode {
+func authzSettings(cfg *config.Config, seed uint64) authz.Settings {
 	names := map[config.Authorisation]authz.Mode{config.Skip: authz.Skip, config.RefuseClass: authz.Refuse,
 		config.AllowClass: authz.Allow}
-	m := map[string]authz.Mode{}
+	a := cfg.Authoriser
+	s := authz.Settings{Classes: map[string]authz.Class{}, Plans: map[string]authz.Plan{}, Targets: len(a.Addresses),
+		Timeout: a.Timeout, Most: a.MostOut, Seed: seed}
 	for _, c := range cfg.Classes {
-		m[c.Name] = names[c.Authorisation]
+		s.Classes[c.Name] = authz.Class{Mode: names[c.Authorisation], Aim: c.Aim, Worth: c.Worth, Remember: c.Remember}
 	}
-	return m
+	for _, p := range cfg.Plans {
+		s.Plans[p.Name] = authz.Plan{Rate: p.Rate, Burst: p.Burst}
+	}
+	return s
 }
 
 func (g *Gateway) listen(l config.Listener, in *intake.Intake) error {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -103,6 +103,17 @@
 // inWorld runs a test in a bubble. Whatever it starts must have ended when it
 // returns: synctest fails it otherwise.
 func inWorld(t *testing.T, extra string, f func(w *world)) {
+	t.Helper()
+	src := worldConfig
+	if strings.Contains(extra, "state_dir") && !strings.Contains(extra, "counter {") { // the list comes by discovery
+		src = src[:strings.Index(src, "  server \"a\"")] + "  eds {\n    address = \"10.0.3.1:80\"\n    cluster = \"c\"\n  }\n" +
+			src[strings.Index(src, "  turned_away"):]
+	}
+	inWorldFrom(t, src+extra, f)
+}
+
+// inWorldFrom is inWorld with a whole configuration.
+func inWorldFrom(t *testing.T, src string, f func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, mem: network.NewMemory(time.Millisecond, 1), rack: &catalogue.Rack{Name: "r", Window: 2 * time.Second}}
@@ -122,12 +133,7 @@
 		}
 		w.auth = authoriser.New("denied")
 		go w.auth.Serve(w.listen("10.0.2.1:80"))
-		src := worldConfig
-		if strings.Contains(extra, "state_dir") && !strings.Contains(extra, "counter {") { // the list comes by discovery
-			src = src[:strings.Index(src, "  server \"a\"")] + "  eds {\n    address = \"10.0.3.1:80\"\n    cluster = \"c\"\n  }\n" +
-				src[strings.Index(src, "  turned_away"):]
-		}
-		w.src = src + extra
+		w.src = src
 		cfg, err := config.Parse([]byte(w.src), "test.hcl")
 		if err != nil {
 			t.Fatal(err)
--- a/node/node.go
+++ b/node/node.go
@@ -73,23 +73,26 @@
 )
 
 type request struct {
-	id       policy.RequestID
-	try      *Try
-	reply    func(Answer)
-	state    state
-	deadline time.Duration
-	timer    *timers.Timer // at the deadline
-	cancel   func()        // of the Check, or the attempt out
-	limit    *timers.Timer // of the Check, or the attempt out
-	attempts int
-	live     bool // an attempt is out
-	server   policy.ServerID
-	sentAt   time.Duration
-	last     policy.Code // how the last attempt ended
-	detail   string
-	add      http1.Header // what the authoriser adds and takes out
-	remove   []string
-	taken    time.Duration
+	id        policy.RequestID
+	try       *Try
+	reply     func(Answer)
+	state     state
+	deadline  time.Duration
+	timer     *timers.Timer // at the deadline
+	cancel    func()        // of the Check, or the attempt out
+	limit     *timers.Timer // of the Check, or the attempt out
+	attempts  int
+	live      bool // an attempt is out
+	server    policy.ServerID
+	sentAt    time.Duration
+	last      policy.Code // how the last attempt ended
+	detail    string
+	check     int // the Check that is out
+	checkAt   time.Duration
+	checkedAs Checked
+	add       http1.Header // what the authoriser adds and takes out
+	remove    []string
+	taken     time.Duration
 }
 
 // New returns a node that Run starts.
@@ -274,26 +277,59 @@
 		n.decide(r)
 		return
 	}
-	step, budget := n.o.Authz.Begin(r.try.Class, r.deadline-n.now)
-	if step != authz.Ask {
-		n.authorised(r, step, Checked{})
-		return
-	}
 	r.state = authorising
-	r.limit = n.wheel.Add(n.now+budget, func() { n.checked(r, Checked{Verdict: authz.Late}) })
-	r.cancel = n.o.Authoriser.Check(r.try, budget, func(c Checked) {
-		n.post(func() { n.checked(r, c) })
-	})
+	if n.nextID%4096 == 0 {
+		n.o.Authz.Forget(n.wall())
+	}
+	t := r.try
+	n.authorise(n.o.Authz.Begin(n.wall(), authz.Request{ID: uint64(r.id), Class: t.Class, Customer: t.Customer, Plan: t.Plan,
+		Resource: t.Call.Method + " " + t.Call.Target, Remaining: r.deadline - n.now}))
+}
+
+func (n *Node) wall() time.Time { return n.base.Add(n.now) }
+
+// authorise carries out what authz says.
+func (n *Node) authorise(acts []authz.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case authz.Check:
+			r := n.reqs[policy.RequestID(a.ID)]
+			r.check, r.checkAt = a.Try, n.now
+			r.limit = n.wheel.Add(n.now+a.Budget, func() { n.checked(r, a.Try, Checked{Verdict: authz.Late, Detail: "authoriser: no answer in time"}) })
+			r.cancel = n.o.Authoriser.Check(a.Target, r.try, a.Budget, func(c Checked) {
+				n.post(func() { n.checked(r, a.Try, c) })
+			})
+		case authz.Cancel:
+			if r := n.reqs[policy.RequestID(a.ID)]; r != nil {
+				n.endWork(r)
+			}
+		case authz.Settle:
+			if r := n.reqs[policy.RequestID(a.ID)]; r != nil && r.state == authorising {
+				c := r.checkedAs
+				if a.StoodIn {
+					c, _ = a.Kept.(Checked)
+					c.Detail = "authoriser gave no answer: an earlier one or the default stands in"
+				}
+				r.state = deciding
+				n.authorised(r, a.Step, c)
+			}
+		case authz.Wake:
+			n.wheel.Add(n.now+a.After, func() { n.authorise(n.o.Authz.Tick(n.wall())) })
+		case authz.Note:
+			n.o.Log.Warn(a.Text, "address", a.Target)
+		}
+	}
 }
 
-// checked takes in how a request's Check ended; only the first word counts.
-func (n *Node) checked(r *request, c Checked) {
-	if r.state != authorising {
+// checked takes in how a Check ended; only the first word counts.
+func (n *Node) checked(r *request, try int, c Checked) {
+	if r.state != authorising || r.limit == nil || r.check != try {
 		return
 	}
 	n.endWork(r)
-	r.state = deciding
-	n.authorised(r, n.o.Authz.End(r.try.Class, c.Verdict), c)
+	r.checkedAs = c
+	n.authorise(n.o.Authz.Answered(n.wall(), uint64(r.id), try, authz.Answer{Verdict: c.Verdict, Latency: n.now - r.checkAt,
+		Life: c.Life, Kept: c}))
 }
 
 // endWork ends the Check or the attempt that is out.
@@ -309,8 +345,8 @@
 func (n *Node) leaveCheck(r *request) {
 	if r.state == authorising {
 		n.endWork(r)
-		n.o.Authz.End(r.try.Class, authz.Late)
 		r.state = deciding
+		n.authorise(n.o.Authz.Gone(n.wall(), uint64(r.id)))
 	}
 }
 
@@ -324,6 +360,8 @@
 		a.Reason = AuthorisationLate
 	case authz.RefuseError:
 		a.Reason = AuthorisationUnreachable
+	case authz.RefuseQuota:
+		a.Reason = Quota
 	default:
 		h := &r.try.Call.Header
 		for _, name := range c.Remove {
@@ -499,6 +537,9 @@
 	if res.Code == policy.OK && r.state != answered {
 		n.answer(r, Answer{Kind: Served, Response: res.Response})
 	}
+	if res.Code == policy.OK && n.o.Authz != nil {
+		n.o.Authz.Took(r.try.Class, n.now-r.sentAt)
+	}
 	over := r.state == answered
 	if r.state == out {
 		r.state = deciding
@@ -525,10 +566,9 @@
 		return
 	}
 	if r.state == authorising {
-		n.checked(r, Checked{Verdict: authz.Late})
-		n.settle()
-	}
-	if r.state == answered {
+		n.leaveCheck(r)
+		n.answer(r, Answer{Kind: Refused, Reason: AuthorisationLate, RetryAfter: n.o.Settings.MaxRetryAfter})
+		n.forget(r)
 		return
 	}
 	n.o.Log.Warn("the module gave no answer by the deadline", "trace", r.try.Trace, "class", r.try.Class)
--- a/node/types.go
+++ b/node/types.go
@@ -131,17 +131,19 @@
 // Checked is how a Check ended.
 type Checked struct {
 	Verdict authz.Verdict
-	Denial  *Response    // of Denied
-	Set     http1.Header // of Allowed: fields that replace the client's
-	Append  http1.Header // fields added to them
-	Remove  []string     // fields taken out
-	Detail  string       // for logs
+	Denial  *Response     // of Denied
+	Set     http1.Header  // of Allowed: fields that replace the client's
+	Append  http1.Header  // fields added to them
+	Remove  []string      // fields taken out
+	Life    time.Duration // that the authoriser states for its answer; 0: none
+	Detail  string        // for logs
 }
 
-// Authoriser asks the external authorisation service. Check returns at once;
-// done is called once, from any goroutine, unless cancel was called before.
+// Authoriser asks the external authorisation service at one of its addresses,
+// counted from 0. Check returns at once; done is called once, from any goroutine,
+// unless cancel was called before.
 type Authoriser interface {
-	Check(t *Try, budget time.Duration, done func(Checked)) (cancel func())
+	Check(target int, t *Try, budget time.Duration, done func(Checked)) (cancel func())
 }
 
 // Server is a line of the server list with its address.
