HTTP/2 as a front, by prior knowledge and behind TLS with ALPN

Users want HTTP/2 early, on the same core. front/http2 speaks frames on x/net's framer and hpack; intake, node and reasons are shared, and the table over the fronts now has three columns. Bounds: streams, header list, body, bodies held for a connection, time for bodies and answers, and an allowance for what costs a client nothing (resets, pings, settings, empty frames). A drain says by GOAWAY which streams are taken; streams beyond the bound are refused with REFUSED_STREAM.

Fourteen sessions of frames in virtual time: rapid reset, CONTINUATION without end, header bomb, window of zero, ping and settings floods, lengths that differ, a drain in the middle of uploads; others are served meanwhile and nothing stays held. The certificate of a TLS listener is replaced in service; open connections stay.

--- a/config/config.go
+++ b/config/config.go
@@ -35,8 +35,10 @@
 
 // The kinds of listener.
 const (
-	HTTP     ListenerKind = "http"
-	ExtAuthz ListenerKind = "ext_authz"
+	HTTP     ListenerKind = "http"      // HTTP/1.1
+	HTTP2    ListenerKind = "http2"     // HTTP/2 by prior knowledge
+	HTTPS    ListenerKind = "https"     // both behind TLS, as ALPN says
+	ExtAuthz ListenerKind = "ext_authz" // gRPC
 )
 
 // Listener is an address that clients or proxies reach the node at.
@@ -44,6 +46,8 @@
 	Kind    ListenerKind
 	Name    string
 	Address string
+	Cert    string // of HTTPS: files in PEM, read again when they change
+	Key     string
 }
 
 // Clients says how requests tell who asks and for how long.
@@ -147,6 +151,8 @@
 	IdleTime             time.Duration // a connection without a request is closed after it
 	WriteTime            time.Duration // for a client to take an answer
 	Connections          int           // of clients, per listener
+	Streams              int           // of HTTP/2, open at once on one connection
+	Abuse                int           // resets, pings, settings and empty frames at once on one connection, a tenth of it a second
 	Requests             int           // not answered yet
 	AnswerMargin         time.Duration // answers leave so long before the client gives up
 	ConnectTime          time.Duration // to connect to a server
--- a/config/load.go
+++ b/config/load.go
@@ -57,6 +57,8 @@
 		KindRange hcl.Range      `hcl:"kind,label_range"`
 		NameRange hcl.Range      `hcl:"name,label_range"`
 		Address   hcl.Expression `hcl:"address"`
+		Cert      hcl.Expression `hcl:"cert_file,optional"`
+		Key       hcl.Expression `hcl:"key_file,optional"`
 	}
 	clientsBlock struct {
 		KeyHeader      hcl.Expression `hcl:"key_header,optional"`
@@ -165,6 +167,8 @@
 		IdleTime     hcl.Expression `hcl:"idle_time,optional"`
 		WriteTime    hcl.Expression `hcl:"write_time,optional"`
 		Connections  hcl.Expression `hcl:"connections,optional"`
+		Streams      hcl.Expression `hcl:"streams,optional"`
+		Abuse        hcl.Expression `hcl:"abuse,optional"`
 		Requests     hcl.Expression `hcl:"requests,optional"`
 		AnswerMargin hcl.Expression `hcl:"answer_margin,optional"`
 		ConnectTime  hcl.Expression `hcl:"connect_time,optional"`
@@ -395,11 +399,15 @@
 	seen := map[string]hcl.Range{}
 	for _, b := range in {
 		kind := ListenerKind(b.Kind)
-		if kind != HTTP && kind != ExtAuthz {
-			l.wrong(b.KindRange, "Unknown kind of listener", "One of these is needed here: %q, %q.", HTTP, ExtAuthz)
+		if all := []ListenerKind{HTTP, HTTP2, HTTPS, ExtAuthz}; !slices.Contains(all, kind) {
+			l.wrong(b.KindRange, "Unknown kind of listener", "One of these is needed here: %s.", quoted(all))
 		}
 		l.unique(seen, "listener", b.Name, b.NameRange)
-		l.cfg.Listeners = append(l.cfg.Listeners, Listener{kind, b.Name, l.address(b.Address)})
+		in := Listener{kind, b.Name, l.address(b.Address), l.name(b.Cert, ""), l.name(b.Key, "")}
+		if tls := kind == HTTPS; tls != (in.Cert != "") || tls != (in.Key != "") {
+			l.wrong(b.NameRange, "Certificate", "A listener of kind \"https\" needs cert_file and key_file, and no other kind takes them.")
+		}
+		l.cfg.Listeners = append(l.cfg.Listeners, in)
 	}
 }
 
@@ -715,6 +723,8 @@
 		IdleTime:     l.duration(in.IdleTime, 5*time.Minute, time.Millisecond, 24*time.Hour),
 		WriteTime:    l.duration(in.WriteTime, 10*time.Second, time.Millisecond, time.Hour),
 		Connections:  l.whole0(in.Connections, 20000, 1, 1e6),
+		Streams:      l.whole0(in.Streams, 100, 1, 1e5),
+		Abuse:        l.whole0(in.Abuse, 200, 10, 1e6),
 		Requests:     l.whole0(in.Requests, 20000, 1, 1e6),
 		AnswerMargin: l.duration(in.AnswerMargin, 10*time.Millisecond, 0, time.Minute),
 		ConnectTime:  l.duration(in.ConnectTime, 250*time.Millisecond, time.Millisecond, time.Minute),
--- a/front/fronts_test.go
+++ b/front/fronts_test.go
@@ -5,11 +5,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -18,6 +21,7 @@
 	datav3 "github.com/envoyproxy/go-control-plane/envoy/data/accesslog/v3"
 	alsv3 "github.com/envoyproxy/go-control-plane/envoy/service/accesslog/v3"
 	authv3 "github.com/envoyproxy/go-control-plane/envoy/service/auth/v3"
+	"golang.org/x/net/http2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/types/known/wrapperspb"
@@ -25,6 +29,7 @@
 	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/front/extauthz"
 	fronthttp "yardcleat.example/yardcleat/front/http1"
+	fronthttp2 "yardcleat.example/yardcleat/front/http2"
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
@@ -97,6 +102,7 @@
 	t      *testing.T
 	node   *scripted
 	client *http.Client
+	h2     *http.Client
 	auth   authv3.AuthorizationClient
 	logs   alsv3.AccessLogServiceClient
 }
@@ -122,7 +128,10 @@
 			}
 			return l
 		}
-		hl, gl := listen("10.0.0.1:80"), listen("10.0.0.1:81")
+		h2s := fronthttp2.New(fronthttp2.Options{Node: n, Intake: in, Log: log, Name: "h", Connections: 10, HeaderBytes: 8192, Fields: 50,
+			Body: 1000, Held: 4000, Streams: 10, Abuse: 100, HeaderTime: time.Second, BodyTime: time.Second, IdleTime: time.Minute, WriteTime: time.Second})
+		hl, gl, h2l := listen("10.0.0.1:80"), listen("10.0.0.1:81"), listen("10.0.0.1:82")
+		go h2s.Serve(h2l)
 		go hs.Serve(hl)
 		go gs.Serve(gl)
 		cc, err := grpc.NewClient("passthrough:///10.0.0.1:81", grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -133,8 +142,15 @@
 		client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return clients.Dial(ctx, addr)
 		}}}
-		f(&fronts{t, n, client, authv3.NewAuthorizationClient(cc), alsv3.NewAccessLogServiceClient(cc)})
+		h2c := &http.Client{Transport: &http2.Transport{AllowHTTP: true,
+			DialTLSContext: func(ctx context.Context, _, _ string, _ *tls.Config) (net.Conn, error) {
+				return clients.Dial(ctx, "10.0.0.1:82")
+			}}}
+		f(&fronts{t, n, client, h2c, authv3.NewAuthorizationClient(cc), alsv3.NewAccessLogServiceClient(cc)})
 		client.CloseIdleConnections()
+		h2c.CloseIdleConnections()
+		h2l.Close()
+		h2s.Drain(context.Background())
 		cc.Close()
 		hl.Close()
 		hs.Drain(context.Background())
@@ -155,15 +171,18 @@
 	header       map[string]string
 }
 
-func (f *fronts) byHTTP(a ask) told {
+func (f *fronts) byHTTP(a ask) told { return f.by(f.client, a) }
+
+func (f *fronts) by(client *http.Client, a ask) told {
 	req, err := http.NewRequest(a.method, "http://10.0.0.1:80"+a.path, nil)
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	req.Header.Set("User-Agent", "test")
 	for k, v := range a.header {
 		req.Header.Set(k, v)
 	}
-	res, err := f.client.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -266,6 +285,18 @@
 				f.node.answer = c.answer
 				h := f.byHTTP(c.ask)
 				hTry := f.node.try
+				h2 := f.by(f.h2, c.ask)
+				if h2.status != h.status || h2.body != h.body || !reflect.DeepEqual(h2.header, h.header) {
+					t.Errorf("by HTTP/1.1 %+v\nby HTTP/2 %+v", h, h2)
+				}
+				sorted := func(h http1.Header) http1.Header {
+					h = slices.Clone(h)
+					slices.SortFunc(h, func(a, b http1.Field) int { return strings.Compare(a.Name, b.Name) })
+					return h
+				}
+				if hTry != nil && !reflect.DeepEqual(sorted(f.node.try.Call.Header), sorted(hTry.Call.Header)) {
+					t.Errorf("forwarded by HTTP/1.1 %v\nby HTTP/2 %v", hTry.Call.Header, f.node.try.Call.Header)
+				}
 				f.node.try = nil
 				g := f.byCheck(c.ask)
 				if h.status != c.status || g.status != c.status {
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -68,20 +68,25 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &conn{s: s, nc: nc, r: http1.NewReader(nc, s.o.Limits), answers: make(chan node.Answer, 1)}
-		s.mu.Lock()
-		full := len(s.conns) >= s.o.Connections || s.closing
-		if !full {
-			s.conns[c] = true
-			s.done.Add(1)
-		}
-		s.mu.Unlock()
-		if full {
-			nc.Close()
-			continue
-		}
-		go c.serve()
+		go s.ServeConn(nc)
+	}
+}
+
+// ServeConn serves one connection until it ends.
+func (s *Server) ServeConn(nc net.Conn) {
+	c := &conn{s: s, nc: nc, r: http1.NewReader(nc, s.o.Limits), answers: make(chan node.Answer, 1)}
+	s.mu.Lock()
+	full := len(s.conns) >= s.o.Connections || s.closing
+	if !full {
+		s.conns[c] = true
+		s.done.Add(1)
+	}
+	s.mu.Unlock()
+	if full {
+		nc.Close()
+		return
 	}
+	c.serve()
 }
 
 func (s *Server) draining() bool {
@@ -163,6 +168,7 @@
 		return c.refuse(req, err)
 	}
 	call := node.Call{Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header.EndToEnd()}
+	call.Header.Del("Host") // it is call.Host
 	if expect := call.Header.Get("Expect"); expect != "" {
 		if expect != "100-continue" {
 			return c.refuse(req, &http1.Error{Status: 417, Text: "expectation other than 100-continue"})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"yardcleat.example/yardcleat/fleet"
 	"yardcleat.example/yardcleat/front/extauthz"
 	fronthttp "yardcleat.example/yardcleat/front/http1"
+	fronthttp2 "yardcleat.example/yardcleat/front/http2"
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
@@ -210,7 +211,6 @@
 	if err != nil {
 		return err
 	}
-	lim := g.cfg.Limits
 	log := g.o.Log.With("listener", l.Name)
 	log.Info("listening", "kind", string(l.Kind), "address", nl.Addr().String())
 	if l.Kind == config.ExtAuthz {
@@ -218,12 +218,39 @@
 		g.serve(log, nl, s.Serve, s.Drain)
 		return nil
 	}
-	s := fronthttp.New(fronthttp.Options{Node: g.node, Intake: in, Log: log, Limits: g.limits(lim.Body),
+	if l.Kind == config.HTTP2 {
+		s := g.http2(l, in, log)
+		g.serve(log, nl, s.Serve, s.Drain)
+		return nil
+	}
+	s := g.http1(l, in, log)
+	if l.Kind == config.HTTPS {
+		t, err := newTLS(l, s, g.http2(l, in, log), log)
+		if err != nil {
+			nl.Close()
+			return err
+		}
+		g.serve(log, nl, t.Serve, t.Drain)
+		return nil
+	}
+	g.serve(log, nl, s.Serve, s.Drain)
+	return nil
+}
+
+func (g *Gateway) http2(l config.Listener, in *intake.Intake, log *slog.Logger) *fronthttp2.Server {
+	lim := g.cfg.Limits
+	const heldBodies = 4 // whole bodies that one connection may have held
+	return fronthttp2.New(fronthttp2.Options{Node: g.node, Intake: in, Log: log, Name: g.name(l) + "h2", HeaderBytes: lim.Header,
+		Fields: lim.Fields, Body: lim.Body, Held: heldBodies * max(lim.Body, 64<<10), Streams: lim.Streams, Abuse: lim.Abuse,
+		HeaderTime: lim.HeaderTime, BodyTime: lim.BodyTime, IdleTime: lim.IdleTime, WriteTime: lim.WriteTime, Connections: lim.Connections})
+}
+
+func (g *Gateway) http1(l config.Listener, in *intake.Intake, log *slog.Logger) *fronthttp.Server {
+	lim := g.cfg.Limits
+	return fronthttp.New(fronthttp.Options{Node: g.node, Intake: in, Log: log, Limits: g.limits(lim.Body),
 		Name:       g.name(l),
 		HeaderTime: lim.HeaderTime, BodyTime: lim.BodyTime, IdleTime: lim.IdleTime, WriteTime: lim.WriteTime,
 		Connections: lim.Connections})
-	g.serve(log, nl, s.Serve, s.Drain)
-	return nil
 }
 
 func (g *Gateway) serve(log *slog.Logger, nl net.Listener, serve func(net.Listener) error, drain func(context.Context)) {
