--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -111,38 +111,29 @@
 	return g, g.fronts[0].l.Addr().String(), g.fronts[1].l.Addr().String()
 }
 
-// load sends b.N requests over connections kept open, and reports the rate and
-// the median and 99th percentile latency.
-func load(b *testing.B, addr string, conns int) {
-	request := "GET /records/1 HTTP/1.1\r\nHost: " + addr + "\r\nX-Api-Key: k\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n"
+// drive has workers call one after the other, b.N times in all, and reports the
+// rate and the median and 99th percentile of what a call takes. open makes a
+// worker's call.
+func drive(b *testing.B, workers int, open func() (call func() error, done func(), err error)) {
 	var left atomic.Int64
 	left.Store(int64(b.N))
-	all := make([][]time.Duration, conns)
+	all := make([][]time.Duration, workers)
 	var wait sync.WaitGroup
 	b.ResetTimer()
-	for i := range conns {
+	for i := range workers {
 		wait.Go(func() {
-			c, err := net.Dial("tcp", addr)
+			call, done, err := open()
 			if err != nil {
 				b.Error(err)
 				return
 			}
-			defer c.Close()
-			r := http1.NewReader(c, http1.Limits{Line: 4096, Fields: 100, Header: 8192, Body: 1 << 20})
+			defer done()
 			for left.Add(-1) >= 0 {
 				start := time.Now()
-				if _, err := io.WriteString(c, request); err != nil {
+				if err := call(); err != nil {
 					b.Error(err)
 					return
 				}
-				res, err := r.Response("GET")
-				if err == nil {
-					_, err = r.Body(res.Framing, res.Length)
-				}
-				if err != nil || res.Status != 200 {
-					b.Errorf("%+v, %v", res, err)
-					return
-				}
 				all[i] = append(all[i], time.Since(start))
 			}
 		})
@@ -158,30 +149,66 @@
 	}
 }
 
+// load sends requests over connections kept open.
+func load(b *testing.B, addr string, conns int) {
+	request := "GET /records/1 HTTP/1.1\r\nHost: " + addr + "\r\nX-Api-Key: k\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n"
+	drive(b, conns, func() (func() error, func(), error) {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return nil, nil, err
+		}
+		r := http1.NewReader(c, http1.Limits{Line: 4096, Fields: 100, Header: 8192, Body: 1 << 20})
+		return func() error {
+			if _, err := io.WriteString(c, request); err != nil {
+				return err
+			}
+			res, err := r.Response("GET")
+			if err == nil {
+				_, err = r.Body(res.Framing, res.Length)
+			}
+			if err == nil && res.Status != 200 {
+				err = fmt.Errorf("status %d", res.Status)
+			}
+			return err
+		}, func() { c.Close() }, nil
+	})
+}
+
+// reverseProxy starts httputil.ReverseProxy before a server, over HTTP/1.1 and
+// HTTP/2.
+func reverseProxy(b *testing.B, server string) (addr string) {
+	u, _ := url.Parse("http://" + server)
+	p := httputil.NewSingleHostReverseProxy(u)
+	p.Transport = &http.Transport{MaxIdleConnsPerHost: 2000}
+	p.ErrorLog = log.New(io.Discard, "", 0)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &http.Server{Handler: p, Protocols: new(http.Protocols)}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	go s.Serve(l)
+	b.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+// many starts so many servers that the cap on attempts out at one does not count.
+func many(b *testing.B) (servers []string) {
+	for range 64 {
+		servers = append(servers, atOnce(b))
+	}
+	return servers
+}
+
 // The HTTP front with all decisions made, against httputil.ReverseProxy and no
 // proxy at all.
 func BenchmarkProxying(b *testing.B) {
 	for _, conns := range []int{1, 64, 1000} {
 		b.Run(fmt.Sprintf("none/%d", conns), func(b *testing.B) { load(b, atOnce(b), conns) })
-		b.Run(fmt.Sprintf("ReverseProxy/%d", conns), func(b *testing.B) {
-			u, _ := url.Parse("http://" + atOnce(b))
-			p := httputil.NewSingleHostReverseProxy(u)
-			p.Transport = &http.Transport{MaxIdleConnsPerHost: 2000}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			s := &http.Server{Handler: p}
-			go s.Serve(l)
-			defer s.Close()
-			load(b, l.Addr().String(), conns)
-		})
+		b.Run(fmt.Sprintf("ReverseProxy/%d", conns), func(b *testing.B) { load(b, reverseProxy(b, atOnce(b)), conns) })
 		b.Run(fmt.Sprintf("yardcleat/%d", conns), func(b *testing.B) {
-			var servers []string
-			for range 64 { // so many that the cap on attempts out at a server does not count
-				servers = append(servers, atOnce(b))
-			}
-			_, addr, _ := benchGateway(b, servers...)
+			_, addr, _ := benchGateway(b, many(b)...)
 			load(b, addr, conns)
 		})
 	}
@@ -209,31 +236,12 @@
 		req := &authv3.CheckRequest{Attributes: &authv3.AttributeContext{Request: &authv3.AttributeContext_Request{
 			Http: &authv3.AttributeContext_HttpRequest{Method: "GET", Path: "/records/1", Host: "h",
 				Headers: map[string]string{"x-api-key": "k", "x-envoy-expected-rq-timeout-ms": "20", "user-agent": "bench"}}}}}
-		var left atomic.Int64
-		left.Store(int64(b.N))
-		all := make([][]time.Duration, workers)
-		var wait sync.WaitGroup
-		b.ResetTimer()
-		for i := range workers {
-			wait.Go(func() {
-				for left.Add(-1) >= 0 {
-					start := time.Now()
-					if _, err := auth.Check(context.Background(), req); err != nil {
-						b.Error(err)
-						return
-					}
-					all[i] = append(all[i], time.Since(start))
-				}
-			})
-		}
-		wait.Wait()
-		b.StopTimer()
-		took := slices.Concat(all...)
-		slices.Sort(took)
-		if len(took) > 0 {
-			b.ReportMetric(float64(len(took))/b.Elapsed().Seconds(), "check/s")
-			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
-		}
+		drive(b, workers, func() (func() error, func(), error) {
+			return func() error {
+				_, err := auth.Check(context.Background(), req)
+				return err
+			}, func() {}, nil
+		})
 	}
 	for _, workers := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("allowing/%d", workers), func(b *testing.B) {
@@ -269,11 +277,7 @@
 				defer c.Kill()
 				extra = fmt.Sprintf("counter { addresses = [%q] }\nnode { state_dir = %q }\n", l.Addr().String(), b.TempDir())
 			}
-			var servers []string
-			for range 64 {
-				servers = append(servers, atOnce(b))
-			}
-			_, addr, _ := benchWith(b, extra, servers...)
+			_, addr, _ := benchWith(b, extra, many(b)...)
 			load(b, addr, 64)
 		})
 	}
@@ -284,69 +288,36 @@
 func BenchmarkHTTP2(b *testing.B) {
 	run := func(b *testing.B, addr string) {
 		const conns, streams = 4, 16
-		var left atomic.Int64
-		left.Store(int64(b.N))
-		all := make([][]time.Duration, conns*streams)
-		var wait sync.WaitGroup
-		b.ResetTimer()
-		for i := range conns {
-			client := &http.Client{Transport: &http2.Transport{AllowHTTP: true,
+		var clients []*http.Client
+		for range conns {
+			clients = append(clients, &http.Client{Transport: &http2.Transport{AllowHTTP: true,
 				DialTLSContext: func(ctx context.Context, _, _ string, _ *tls.Config) (net.Conn, error) {
 					var d net.Dialer
 					return d.DialContext(ctx, "tcp", addr)
-				}}}
-			defer client.CloseIdleConnections()
-			for k := range streams {
-				wait.Go(func() {
-					for left.Add(-1) >= 0 {
-						req, _ := http.NewRequest("GET", "http://"+addr+"/records/1", nil)
-						req.Header.Set("X-Api-Key", "k")
-						start := time.Now()
-						res, err := client.Do(req)
-						if err != nil {
-							b.Error(err)
-							return
-						}
-						io.Copy(io.Discard, res.Body)
-						res.Body.Close()
-						if res.StatusCode != 200 {
-							b.Errorf("status %d", res.StatusCode)
-							return
-						}
-						all[i*streams+k] = append(all[i*streams+k], time.Since(start))
-					}
-				})
-			}
-		}
-		wait.Wait()
-		b.StopTimer()
-		took := slices.Concat(all...)
-		slices.Sort(took)
-		if len(took) > 0 {
-			b.ReportMetric(float64(len(took))/b.Elapsed().Seconds(), "req/s")
-			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+				}}})
 		}
+		var next atomic.Int32
+		drive(b, conns*streams, func() (func() error, func(), error) {
+			client := clients[next.Add(1)%conns]
+			return func() error {
+				req, _ := http.NewRequest("GET", "http://"+addr+"/records/1", nil)
+				req.Header.Set("X-Api-Key", "k")
+				res, err := client.Do(req)
+				if err != nil {
+					return err
+				}
+				defer res.Body.Close()
+				if res.StatusCode != 200 {
+					return fmt.Errorf("status %d", res.StatusCode)
+				}
+				_, err = io.Copy(io.Discard, res.Body)
+				return err
+			}, client.CloseIdleConnections, nil
+		})
 	}
-	b.Run("ReverseProxy", func(b *testing.B) {
-		u, _ := url.Parse("http://" + atOnce(b))
-		p := httputil.NewSingleHostReverseProxy(u)
-		p.Transport = &http.Transport{MaxIdleConnsPerHost: 2000}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		s := &http.Server{Handler: p, Protocols: new(http.Protocols)}
-		s.Protocols.SetUnencryptedHTTP2(true)
-		go s.Serve(l)
-		defer s.Close()
-		run(b, l.Addr().String())
-	})
+	b.Run("ReverseProxy", func(b *testing.B) { run(b, reverseProxy(b, atOnce(b))) })
 	b.Run("yardcleat", func(b *testing.B) {
-		var servers []string
-		for range 64 {
-			servers = append(servers, atOnce(b))
-		}
-		g, _, _ := benchWith(b, "listener \"http2\" \"kiosks\" { address = \"127.0.0.1:0\" }\n", servers...)
+		g, _, _ := benchWith(b, "listener \"http2\" \"kiosks\" { address = \"127.0.0.1:0\" }\n", many(b)...)
 		run(b, g.fronts[2].l.Addr().String())
 	})
 }
@@ -400,22 +371,7 @@
 		runtime.ReadMemStats(&after)       // what is free is not asked for: the time is short
 		b.ReportMetric(float64(after.HeapAlloc+after.StackInuse-before.HeapAlloc-before.StackInuse)/10_000, "B/stream")
 	}
-	b.Run("ReverseProxy", func(b *testing.B) {
-		hang(func(addr string) {
-			u, _ := url.Parse("http://" + addr)
-			p := httputil.NewSingleHostReverseProxy(u)
-			p.ErrorLog = log.New(io.Discard, "", 0)
-			pl, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			s := &http.Server{Handler: p, Protocols: new(http.Protocols)}
-			s.Protocols.SetUnencryptedHTTP2(true)
-			go s.Serve(pl)
-			defer s.Close()
-			measure(b, pl.Addr().String())
-		})
-	})
+	b.Run("ReverseProxy", func(b *testing.B) { hang(func(addr string) { measure(b, reverseProxy(b, addr)) }) })
 	b.Run("yardcleat", func(b *testing.B) {
 		hang(func(addr string) {
 			g, _, _ := benchWith(b, "listener \"http2\" \"kiosks\" { address = \"127.0.0.1:0\" }\n", addr)
