The fleet's key is replaced in service, without a message lost

A withdrawn key meant restarting every node. A key file may now hold several: the first seals, all open, and it is read again when it changes. The accept loops of three fronts are one.

--- a/config/config.go
+++ b/config/config.go
@@ -95,7 +95,8 @@
 type Peers struct {
 	Listen        string
 	Addresses     map[int]string // by number, this node's left out
-	Key           []byte         // 32 bytes, shared by the fleet
+	Keys          [][]byte       // of 32 bytes; the first seals, all open
+	KeyFile       string         // read again when it changes; "": the keys stay
 	MailPerSecond float64        // messages a node takes in
 	Freshness     time.Duration  // a message sent longer ago is dropped
 }
--- a/config/load.go
+++ b/config/load.go
@@ -572,7 +572,7 @@
 	p.Listen = l.address(in.Listen)
 	p.MailPerSecond = l.number(in.MailPerSecond, 60, 1, 1e6)
 	p.Freshness = l.duration(in.Freshness, 10*time.Second, 100*time.Millisecond, time.Hour)
-	p.Key = l.key(in)
+	p.Keys = l.keys(in)
 	for _, b := range in.Peers {
 		n, err := strconv.Atoi(b.Number)
 		switch {
@@ -602,7 +602,7 @@
 
 const keySize = 32
 
-func (l *loader) key(in *peersBlock) []byte {
+func (l *loader) keys(in *peersBlock) [][]byte {
 	text, at := l.text(in.Key, ""), in.DefRange
 	if path := l.text(in.KeyFile, ""); path != "" {
 		at = in.KeyFile.Range()
@@ -616,13 +616,29 @@
 			l.wrong(at, "Key not readable", "The file %q can't be read: %v.", path, pe.Err)
 			return nil
 		}
-		text = strings.TrimSpace(string(b))
+		l.cfg.Peers.KeyFile, text = path, string(b)
 	}
-	key, err := hex.DecodeString(text)
-	if err != nil || len(key) != keySize {
-		l.wrong(at, "Not a key", "The fleet's key is %d bytes in hex, %d digits, in key or the file named by key_file.", keySize, 2*keySize)
+	keys, err := ParseKeys(text)
+	if err != nil {
+		l.wrong(at, "Not a key", "The fleet's key is %d bytes in hex, %d digits, in key or, one a line, in the file named by key_file.",
+			keySize, 2*keySize)
+	}
+	return keys
+}
+
+// ParseKeys reads the fleet's keys, one a line in hex.
+func ParseKeys(text string) (keys [][]byte, err error) {
+	for line := range strings.FieldsSeq(text) {
+		key, err := hex.DecodeString(line)
+		if err != nil || len(key) != keySize {
+			return nil, fmt.Errorf("key %d is not of %d bytes in hex", len(keys)+1, keySize)
+		}
+		keys = append(keys, key)
+	}
+	if len(keys) == 0 {
+		return nil, errors.New("no key")
 	}
-	return key
+	return keys, nil
 }
 
 func (l *loader) servers(in *serversBlock) {
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -15,6 +15,7 @@
 
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/node"
 )
 
@@ -53,23 +54,7 @@
 
 // Serve takes connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	for {
-		nc, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() || s.draining() {
-				return err
-			}
-			// Out of descriptors, or the like: it passes.
-			s.o.Log.Warn("accept", "error", err)
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		go s.ServeConn(nc)
-	}
+	return network.Accept(l, s.o.Log, s.ServeConn)
 }
 
 // ServeConn serves one connection until it ends.
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -20,6 +20,7 @@
 
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/node"
 )
 
@@ -63,18 +64,7 @@
 
 // Serve takes connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	for {
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			s.o.Log.Warn("accept", "error", err)
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		go s.ServeConn(nc)
-	}
+	return network.Accept(l, s.o.Log, s.ServeConn)
 }
 
 // ServeConn serves one connection until it ends.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 	if len(cfg.Peers.Addresses) > 0 {
 		p := cfg.Peers
 		mail, err := peer.Listen(peer.Options{Network: o.Network, Listen: p.Listen, Addresses: p.Addresses, Me: cfg.Number,
-			Key: p.Key, Incarnation: inc, Freshness: p.Freshness, Rate: p.MailPerSecond, Log: o.Log,
+			Keys: peer.NewKeyring(p.Keys, p.KeyFile, o.Log), Incarnation: inc, Freshness: p.Freshness, Rate: p.MailPerSecond, Log: o.Log,
 			Deliver: deliver})
 		if err != nil {
 			return g, err
--- a/gateway/tls.go
+++ b/gateway/tls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -14,6 +13,7 @@
 	"yardcleat.example/yardcleat/config"
 	fronthttp "yardcleat.example/yardcleat/front/http1"
 	fronthttp2 "yardcleat.example/yardcleat/front/http2"
+	"yardcleat.example/yardcleat/internal/network"
 )
 
 // tlsFront ends TLS and hands each connection to the front that ALPN names. Its
@@ -29,7 +29,6 @@
 	cert  *tls.Certificate
 	stamp string    // of the files that cert was read from
 	look  time.Time // when they were last looked at
-	shake sync.WaitGroup
 }
 
 const (
@@ -98,33 +97,20 @@
 
 // Serve takes connections until the listener is closed.
 func (t *tlsFront) Serve(l net.Listener) error {
-	for {
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			t.shake.Wait()
-			return nil
-		}
-		if err != nil {
-			t.log.Warn("accept", "error", err)
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		t.shake.Add(1)
-		go func() {
-			tc := tls.Server(nc, t.cfg)
-			ctx, cancel := context.WithTimeout(context.Background(), handshakeTime)
-			err := tc.HandshakeContext(ctx)
-			cancel()
-			t.shake.Done()
-			switch {
-			case err != nil:
-				nc.Close()
-			case tc.ConnectionState().NegotiatedProtocol == "h2":
-				t.h2.ServeConn(tc)
-			default:
-				t.h1.ServeConn(tc)
-			}
-		}()
+	return network.Accept(l, t.log, t.serve)
+}
+
+func (t *tlsFront) serve(nc net.Conn) {
+	tc := tls.Server(nc, t.cfg)
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTime)
+	defer cancel()
+	switch err := tc.HandshakeContext(ctx); {
+	case err != nil:
+		nc.Close()
+	case tc.ConnectionState().NegotiatedProtocol == "h2":
+		t.h2.ServeConn(tc)
+	default:
+		t.h1.ServeConn(tc)
 	}
 }
 
--- a/peer/guard_test.go
+++ b/peer/guard_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"flag"
+	"fmt"
 	"io"
 	"log/slog"
+	"maps"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +17,7 @@
 
 	"pgregory.net/rapid"
 
+	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/internal/network"
 )
 
@@ -135,7 +140,7 @@
 		got := 0
 		open := func(host, addr string, me int, inc uint64, w io.Writer) *Mail {
 			m, err := Listen(Options{Network: mem.Host(host), Listen: addr, Addresses: map[int]string{1 - me: map[int]string{0: "a:1", 1: "b:1"}[1-me]},
-				Me: me, Key: key, Incarnation: inc, Freshness: time.Second, Rate: 1000, Log: slog.New(slog.NewTextHandler(w, nil)),
+				Me: me, Keys: NewKeyring([][]byte{key}, "", slog.New(slog.DiscardHandler)), Incarnation: inc, Freshness: time.Second, Rate: 1000, Log: slog.New(slog.NewTextHandler(w, nil)),
 				Deliver: func(int, []byte) {
 					mu.Lock()
 					defer mu.Unlock()
@@ -149,7 +154,7 @@
 		a := open("a", "a:1", 0, 1, &log)
 		b1, b2 := open("b", "b:1", 1, 1, io.Discard), open("c", "c:1", 1, 2, io.Discard)
 		foreign, err := Listen(Options{Network: mem.Host("d"), Listen: "d:1", Addresses: map[int]string{0: "a:1"}, Me: 1,
-			Key: bytes.Repeat([]byte{9}, 32), Incarnation: 9, Freshness: time.Second, Rate: 1000, Log: slog.New(slog.DiscardHandler)})
+			Keys: NewKeyring([][]byte{bytes.Repeat([]byte{9}, 32)}, "", slog.New(slog.DiscardHandler)), Incarnation: 9, Freshness: time.Second, Rate: 1000, Log: slog.New(slog.DiscardHandler)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -181,3 +186,79 @@
 		}
 	})
 }
+
+// The fleet's key is replaced in service: in three steps no message is lost; a
+// node that keeps the old key alone is out within the time stated.
+func TestKeyRotation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := network.NewMemory(time.Millisecond, 1)
+		dir := t.TempDir()
+		keyOf := func(b byte) string { return strings.Repeat(fmt.Sprintf("%02x", b), 32) + "\n" }
+		var mu sync.Mutex
+		got := map[int]int{}
+		var all []*Mail
+		write := func(n int, text string) {
+			if err := os.WriteFile(filepath.Join(dir, fmt.Sprint(n)), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		addresses := map[int]string{0: "a:1", 1: "b:1", 2: "c:1"}
+		for n := range 3 {
+			write(n, keyOf(1))
+			others := maps.Clone(addresses)
+			delete(others, n)
+			old, err := config.ParseKeys(keyOf(1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			m, err := Listen(Options{Network: mem.Host(addresses[n]), Listen: addresses[n], Addresses: others, Me: n,
+				Keys:        NewKeyring(old, filepath.Join(dir, fmt.Sprint(n)), slog.New(slog.DiscardHandler)),
+				Incarnation: 1, Freshness: time.Second, Rate: 1000, Log: slog.New(slog.DiscardHandler),
+				Deliver: func(from int, _ []byte) {
+					mu.Lock()
+					defer mu.Unlock()
+					got[from]++
+				}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, m)
+		}
+		tell := func(seconds int) {
+			for range seconds * 10 {
+				for n, m := range all {
+					m.Tell((n+1)%3, []byte("x"))
+					m.Tell((n+2)%3, []byte("x"))
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		for _, step := range []string{keyOf(1) + keyOf(2), keyOf(2) + keyOf(1), "torn", keyOf(2)} {
+			for n := range all { // one after the other, as in service
+				if step != "torn" || n == 0 {
+					write(n, step)
+				}
+				if step == keyOf(2) && n == 2 {
+					write(n, keyOf(1)) // it was forgotten, or is not to be trusted
+				}
+				tell(2)
+			}
+		}
+		mu.Lock()
+		total := got[0] + got[1]
+		withdrawn := got[2]
+		mu.Unlock()
+		if want := 2 * 2 * 12 * 20; total < want-60 || total > want {
+			t.Errorf("%d of %d messages taken of those that follow", total, want)
+		}
+		tell(2)
+		mu.Lock()
+		defer mu.Unlock()
+		if got[2] != withdrawn {
+			t.Errorf("%d messages of the withdrawn node were taken", got[2]-withdrawn)
+		}
+		for _, m := range all {
+			m.Close()
+		}
+	})
+}
--- a/peer/mail.go
+++ b/peer/mail.go
@@ -24,7 +24,7 @@
 	Listen      string
 	Addresses   map[int]string // of the others, by number
 	Me          int
-	Key         []byte
+	Keys        *Keyring
 	Incarnation uint64
 	Freshness   time.Duration
 	Rate        float64 // messages a second taken in
@@ -91,7 +91,7 @@
 		case l := <-m.out:
 			if addr := m.to[l.to]; addr != nil && len(l.data) <= MaxPayload {
 				seq++
-				m.pc.WriteTo(Seal(m.o.Key, Header{From: uint16(m.o.Me), To: uint16(l.to), Incarnation: m.o.Incarnation,
+				m.pc.WriteTo(Seal(m.o.Keys.Keys()[0], Header{From: uint16(m.o.Me), To: uint16(l.to), Incarnation: m.o.Incarnation,
 					Seq: seq, Sent: time.Now()}, l.data), addr)
 			}
 		case <-m.done:
@@ -112,7 +112,7 @@
 		if err != nil {
 			continue // ICMP errors of earlier sends, on some systems
 		}
-		h, payload, ok := Open(m.o.Key, b[:n])
+		h, payload, ok := m.o.Keys.open(b[:n])
 		now, word := time.Now(), Foreign
 		if ok {
 			word = g.Judge(now, h)
