Drains answer held Checks; a try taken as the loop ends is answered; dead HTTP/2 peers

A drain cut ext_authz calls after 200 ms, also Checks that were held: they now have their answers first (tested). A try that came between the loop's last look at its queue and its end was never answered: taking and queueing are one step under the lock. An HTTP/2 connection whose server went silent kept getting streams: one that times out with nothing heard since takes no more.

--- a/front/extauthz/server.go
+++ b/front/extauthz/server.go
@@ -64,6 +64,7 @@
 	o      Options
 	gs     *grpc.Server
 	traces atomic.Uint64
+	checks atomic.Int64 // under way
 
 	mu     sync.Mutex
 	passed map[string]passed // by trace, for logs that do not name the attempt
@@ -94,19 +95,27 @@
 	return err
 }
 
-// Drain lets the calls under way end; when the context ends, or after a moment
-// for the log streams, which have no end of their own, they are cut.
+// Drain takes no new calls and lets Checks under way end, until the context does.
+// Log streams have no end of their own: they get a moment more for the last lines.
 func (s *Server) Drain(ctx context.Context) {
-	const logs = 200 * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, logs)
-	defer cancel()
-	stop := context.AfterFunc(ctx, s.gs.Stop)
-	defer stop()
+	const logs, look = 200 * time.Millisecond, 5 * time.Millisecond
+	go func() {
+		for s.checks.Load() > 0 && ctx.Err() == nil {
+			time.Sleep(look)
+		}
+		select {
+		case <-time.After(logs):
+		case <-ctx.Done():
+		}
+		s.gs.Stop()
+	}()
 	s.gs.GracefulStop()
 }
 
 // Check answers whether a request may go, and where to.
 func (s *Server) Check(ctx context.Context, req *authv3.CheckRequest) (*authv3.CheckResponse, error) {
+	s.checks.Add(1)
+	defer s.checks.Add(-1)
 	call := callOf(req.GetAttributes().GetRequest().GetHttp())
 	trace := s.o.Name + "-" + strconv.FormatUint(s.traces.Add(1), 36)
 	t, early := s.o.Intake.Admit(call, trace)
--- a/gateway/proxied_test.go
+++ b/gateway/proxied_test.go
@@ -70,6 +70,32 @@
 	})
 }
 
+// A Check that is held as the node drains has its answer.
+func TestDrainWithCheck(t *testing.T) {
+	inWorld(t, cappedPlan, func(w *world) {
+		check, done := w.checker("2000")
+		defer done()
+		for range 2 {
+			check("/records/1")
+		}
+		answered := make(chan *authv3.CheckResponse)
+		go func() { answered <- check("/records/1") }()
+		time.Sleep(20 * time.Millisecond)
+		drained := make(chan error)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			drained <- w.node.Drain(ctx)
+		}()
+		if r := <-answered; r.GetDeniedResponse().GetStatus().GetCode() != 429 {
+			t.Errorf("%v", r)
+		}
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // A proxy that logs frees the cap at once, and its clients get what those of
 // the HTTP front get.
 func TestThroughProxy(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -58,7 +58,6 @@
 	acts    []policy.Action
 	servers map[policy.ServerID]string
 	list    []policy.Server // the last whole list, for a module made anew
-	perMail int
 }
 
 // state is where a request stands in its life.
@@ -103,17 +102,20 @@
 		o.Base = time.Now()
 	}
 	return &Node{o: o, base: o.Base, gw: gw, seed: o.Seed, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1),
-		reqs: map[policy.RequestID]*request{}, servers: map[policy.ServerID]string{},
-		perMail: o.Settings.Gateways}, nil
+		reqs: map[policy.RequestID]*request{}, servers: map[policy.ServerID]string{}}, nil
 }
 
 // post gives the loop something to do.
 func (n *Node) post(f func()) {
 	n.mu.Lock()
-	n.queue = append(n.queue, f)
-	first := len(n.queue) == 1
+	n.enqueue(f)
 	n.mu.Unlock()
-	if first {
+}
+
+// enqueue is post under n.mu.
+func (n *Node) enqueue(f func()) {
+	n.queue = append(n.queue, f)
+	if len(n.queue) == 1 {
 		select {
 		case n.wake <- struct{}{}:
 		default:
@@ -170,10 +172,15 @@
 // or at once, and must not block. The returned function says that the client
 // has left.
 func (n *Node) Take(t *Try, reply func(Answer)) (gone func()) {
+	r := &request{try: t, reply: reply}
+	at := time.Since(n.base)
 	n.mu.Lock()
 	closing, full := n.closing, n.open >= n.o.Most
 	if !closing && !full {
+		// Under one lock with the look at closing: once that is set, the loop
+		// empties the queue a last time.
 		n.open++
+		n.enqueue(func() { n.begin(r, at) })
 	}
 	n.mu.Unlock()
 	if closing || full {
@@ -186,9 +193,6 @@
 		reply(a)
 		return func() {}
 	}
-	r := &request{try: t, reply: reply}
-	at := time.Since(n.base)
-	n.post(func() { n.begin(r, at) })
 	return func() { n.post(func() { n.clientGone(r) }) }
 }
 
@@ -463,7 +467,7 @@
 			n.o.Tell(a.To, a.Data)
 			break
 		}
-		for i := range n.perMail {
+		for i := range n.o.Settings.Gateways {
 			if i != n.o.Settings.Me {
 				n.o.Tell(i, a.Data)
 			}
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -49,7 +49,8 @@
 	sendWindow int64 // on all streams
 	peerWindow int64 // on a new one
 	owed       int64
-	closed     bool // takes no more streams
+	heard      time.Time // when its server last sent a frame
+	closed     bool      // takes no more streams
 }
 
 type h2stream struct {
@@ -59,6 +60,7 @@
 	head *http1.Response
 	body []byte
 	over bool
+	sent time.Time
 }
 
 // runHTTP2 makes an attempt over HTTP/2.
@@ -178,7 +180,7 @@
 				delete(c.streams, id)
 			}
 		}
-		s.id = c.next
+		s.id, s.sent = c.next, time.Now()
 		c.next += 2
 		c.streams[s.id] = s
 		c.mu.Unlock()
@@ -250,10 +252,20 @@
 	return true
 }
 
-// reset ends a stream's work at the server; the others go on.
+// reset ends a stream's work at the server; the others go on. Where the server
+// has sent nothing since, the connection may be dead: it takes no more streams,
+// and is closed with its last one.
 func (c *h2conn) reset(s *h2stream, code http2.ErrCode) {
-	if c.remove(s) && s.id != 0 {
-		c.write(func() error { return c.fr.WriteRSTStream(s.id, code) })
+	if !c.remove(s) || s.id == 0 {
+		return
+	}
+	c.write(func() error { return c.fr.WriteRSTStream(s.id, code) })
+	c.mu.Lock()
+	c.closed = c.closed || c.heard.Before(s.sent)
+	last := c.closed && len(c.streams) == 0
+	c.mu.Unlock()
+	if last {
+		c.nc.Close()
 	}
 }
 
@@ -271,6 +283,9 @@
 	for err == nil {
 		var f http2.Frame
 		if f, err = c.fr.ReadFrame(); err == nil {
+			c.mu.Lock()
+			c.heard = time.Now()
+			c.mu.Unlock()
 			err = c.frame(f)
 		}
 		var se http2.StreamError
