A client's bytes that are no UTF-8 don't make the authoriser look failed

A gRPC message takes UTF-8 alone. A header field with other bytes made the Check fail at the sender, which counted against the authoriser: five such requests in a row would have had it left alone for all. Such bytes are sent as "!", as Envoy does. The test fails with 503 authorisation-unreachable without it.

--- a/authz/client/client.go
+++ b/authz/client/client.go
@@ -106,18 +106,18 @@
 			continue
 		}
 		name := strings.ToLower(f.Name)
+		value := clean(f.Value)
 		if old, twice := headers[name]; twice {
-			headers[name] = old + "," + f.Value
-			continue
+			value = old + "," + value
 		}
-		headers[name] = f.Value
+		headers[name] = value
 	}
 	// What stands where a body was cut is Envoy's word for it.
 	body := t.Call.Body[:min(len(t.Call.Body), c.rules.Body)]
 	if c.rules.Body > 0 && len(t.Call.Body) > 0 {
 		headers["x-envoy-auth-partial-body"] = strconv.FormatBool(len(body) < len(t.Call.Body))
 	}
-	http := &authv3.AttributeContext_HttpRequest{Id: t.Trace, Method: t.Call.Method, Path: t.Call.Target, Host: t.Call.Host,
+	http := &authv3.AttributeContext_HttpRequest{Id: clean(t.Trace), Method: t.Call.Method, Path: t.Call.Target, Host: t.Call.Host,
 		Scheme: "http", Protocol: "HTTP/1.1", Headers: headers, Size: int64(len(t.Call.Body))}
 	if utf8.Valid(body) {
 		http.Body = string(body)
@@ -135,6 +135,11 @@
 	}}
 }
 
+// clean makes a text fit for a message, which takes UTF-8 alone: a client's field
+// must not make the call fail, and the authoriser look as if it had. Envoy puts
+// the same sign in its place.
+func clean(s string) string { return strings.ToValidUTF8(s, "!") }
+
 // address makes the message of host:port; nil where it is not one.
 func address(s string) *corev3.Address {
 	host, port, err := net.SplitHostPort(s)
--- a/gateway/authz_test.go
+++ b/gateway/authz_test.go
@@ -186,6 +186,19 @@
 	}
 }
 
+// A client's bytes that no gRPC message takes don't make the authoriser look bad.
+func TestFieldsNotUTF8(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		for i := range 20 {
+			got := w.rawClient(fmt.Sprintf("POST /loans/1 HTTP/1.1\r\nHost: h\r\nX-Api-Key: k-school\r\nIdempotency-Key: k%d\xff\r\n"+
+				"X-Request-Id: \xc3\x28\r\nConnection: close\r\n\r\n", i))
+			if !strings.HasPrefix(got, "HTTP/1.1 200 ") && !strings.HasPrefix(got, "HTTP/1.1 429 ") {
+				t.Fatalf("%q", got)
+			}
+		}
+	})
+}
+
 // Log lines come doubled, late, out of order, for attempts of others, and from
 // two proxies for one attempt: only the first for an attempt counts, and a place
 // under the cap is freed once.
