--- a/day/callers.go
+++ b/day/callers.go
@@ -13,7 +13,6 @@
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/node"
-	"yardcleat.example/yardcleat/policy"
 	"yardcleat.example/yardcleat/standin/catalogue"
 	"yardcleat.example/yardcleat/upstream"
 )
@@ -46,6 +45,7 @@
 type callers struct {
 	d     *stage
 	pool  *upstream.Pool
+	h2    *upstream.Pool // over HTTP/2
 	tries sync.WaitGroup
 
 	mu     sync.Mutex
@@ -55,12 +55,18 @@
 }
 
 func newCallers(d *stage) *callers {
-	return &callers{d: d, counts: map[string]int{}, pool: upstream.New(upstream.Options{Network: d.o.Env.Network("clients"),
-		ConnectTime: time.Second, Idle: 256,
-		Limits: http1.Limits{Line: 8 << 10, Fields: 100, Header: 32 << 10, Body: 8 << 20}})}
+	o := upstream.Options{Network: d.o.Env.Network("clients"), ConnectTime: time.Second, Idle: 256,
+		Limits: http1.Limits{Line: 8 << 10, Fields: 100, Header: 32 << 10, Body: 8 << 20}}
+	c := &callers{d: d, counts: map[string]int{}, pool: upstream.New(o)}
+	o.HTTP2 = true
+	c.h2 = upstream.New(o)
+	return c
 }
 
-func (c *callers) close() { c.pool.Close() }
+func (c *callers) close() {
+	c.pool.Close()
+	c.h2.Close()
+}
 
 func (c *callers) count() map[string]int {
 	c.mu.Lock()
@@ -106,8 +112,11 @@
 		}
 		t := audit.Tried{Trace: fmt.Sprintf("try-%d-%d", number, attempt), Node: rng.IntN(c.d.s.Nodes), Front: "http",
 			Customer: who.Name, Plan: who.Plan, Class: class.Name, Units: max(1, class.Units), Repeat: attempt > 0}
-		if rng.Float64() < c.d.s.Clients.Proxied {
+		switch at := rng.Float64(); {
+		case at < c.d.s.Clients.Proxied:
 			t.Front = "proxy"
+		case at < c.d.s.Clients.Proxied+c.d.s.Clients.HTTP2:
+			t.Front = "http2"
 		}
 		c.try(&t, class, key, patience, attempt)
 		c.mu.Lock()
@@ -142,14 +151,17 @@
 	if class.Effect == "keyed" {
 		call.Header.Add("Idempotency-Key", key)
 	}
-	address := c.d.http[t.Node]
-	if t.Front == "proxy" {
+	address, pool := c.d.http[t.Node], c.pool
+	switch t.Front {
+	case "proxy":
 		address = c.d.proxies[t.Node]
+	case "http2":
+		address, pool = c.d.http2[t.Node], c.h2
 	}
 	t.Sent = time.Now()
 	t.GiveUp = t.Sent.Add(patience)
 	ended := make(chan node.Result, 1)
-	cancel := c.pool.Start(node.Attempt{Address: address, Try: &node.Try{Call: call}}, func(r node.Result) { ended <- r })
+	cancel := pool.Start(node.Attempt{Address: address, Try: &node.Try{Call: call}}, func(r node.Result) { ended <- r })
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
@@ -163,7 +175,7 @@
 // answer reads what a client was told.
 func answer(t *audit.Tried, r node.Result) {
 	if r.Response == nil {
-		t.Refused = r.Code == policy.ConnectFailed
+		t.Refused = r.Code.NeverRan() // not connected, or the stream was not taken
 		return
 	}
 	t.Answered, t.Status = time.Now(), r.Response.Status
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -64,7 +64,7 @@
 	}
 	for _, e := range [][2]string{{`"30s"`, `"10s"`}, {"count         = 10", "count         = 3"}, {"cold_share    = 0.21", "cold_share    = 0.05"},
 		{`told_late     = "400ms"`, `told_late     = "50ms"`},
-		{"cores         = 2", "cores         = 4"}, {"queue         = 16", "queue         = 40"}} {
+		{"cores         = 2", "cores         = 4"}, {"count = 5\n  use   = 0.8\n}\n\ncounter", "count = 9\n  use   = 0.8\n}\n\ncounter"}, {"queue         = 16", "queue         = 40"}} {
 		if !bytes.Contains(b, []byte(e[0])) {
 			panic(e[0] + " does not stand in the default script")
 		}
--- a/day/run.go
+++ b/day/run.go
@@ -100,6 +100,7 @@
 	edsAddr   string
 	authAddr  string
 	http      []string // of the nodes, by number
+	http2     []string
 	extAuthz  []string
 	peer      []string
 	proxies   []string
@@ -214,6 +215,7 @@
 	for range s.Nodes {
 		d.http, d.extAuthz = append(d.http, address()), append(d.extAuthz, address())
 		d.peer, d.proxies = append(d.peer, address()), append(d.proxies, address())
+		d.http2 = append(d.http2, address())
 	}
 	if err != nil {
 		return err
@@ -503,7 +505,7 @@
 	key := blake3.Sum256([]byte(fmt.Sprint("day ", d.s.Seed)))
 	var b bytes.Buffer
 	err = nodeConfig.Execute(&b, map[string]any{"S": d.s, "Number": i, "Zone": fmt.Sprint("room-", i%d.s.Servers.Racks),
-		"Dir": dir, "HTTP": d.http[i], "ExtAuthz": d.extAuthz[i], "Peer": d.peer[i], "Peers": peers, "Key": hex.EncodeToString(key[:]),
+		"Dir": dir, "HTTP": d.http[i], "HTTP2": d.http2[i], "ExtAuthz": d.extAuthz[i], "Peer": d.peer[i], "Peers": peers, "Key": hex.EncodeToString(key[:]),
 		"Auth": d.authAddr, "EDS": d.edsAddr, "Customers": customers(d.s), "Counters": d.counterAt})
 	return b.Bytes(), err
 }
@@ -516,6 +518,7 @@
 }
 log { format = "json" }
 listener "http" "desks" { address = "{{.HTTP}}" }
+listener "http2" "kiosks" { address = "{{.HTTP2}}" }
 listener "ext_authz" "proxies" { address = "{{.ExtAuthz}}" }
 clients {
   max_retry_after = "1s"
--- a/day/script.go
+++ b/day/script.go
@@ -81,8 +81,9 @@
 // Clients describes how clients behave.
 type Clients struct {
 	Retries int      `hcl:"retries"`
-	Wait    Duration `hcl:"wait"`    // before a retry
-	Proxied float64  `hcl:"proxied"` // share of tries that come by the proxies
+	Wait    Duration `hcl:"wait"`           // before a retry
+	Proxied float64  `hcl:"proxied"`        // share of tries that come by the proxies
+	HTTP2   float64  `hcl:"http2,optional"` // share that comes over HTTP/2; the rest over HTTP/1.1
 }
 
 // Class is a class of requests with the work it makes.
--- a/day/scripts/base.hcl
+++ b/day/scripts/base.hcl
@@ -21,6 +21,7 @@
   retries = 2
   wait    = "200ms"
   proxied = 0.3
+  http2   = 0.3
 }
 
 class "lookup" {
