One header-block writer; saves that changed nothing are skipped; dead code out

Both ends of HTTP/2 wrote header blocks by their own loops: internal/h2 has one. An unused field, parameter and counter are gone.

--- a/authz/authz.go
+++ b/authz/authz.go
@@ -153,16 +153,15 @@
 
 type request struct {
 	Request
-	class    *class
-	began    time.Time
-	deadline time.Time
-	give     time.Time // without an answer by then, what stands in decides
-	beyond   bool
-	tries    int
-	target   int // of the Check out; -1: it waits
-	last     int
-	queued   bool
-	failed   bool // an address could not be reached
+	class  *class
+	began  time.Time
+	give   time.Time // without an answer by then, what stands in decides
+	beyond bool
+	tries  int
+	target int // of the Check out; -1: it waits
+	last   int
+	queued bool
+	failed bool // an address could not be reached
 }
 
 type class struct {
@@ -245,7 +244,7 @@
 		d.do(Settle{ID: r.ID, Step: Pass})
 		return d.acts
 	}
-	q := &request{Request: r, class: c, began: now, deadline: now.Add(r.Remaining), target: -1, last: -1}
+	q := &request{Request: r, class: c, began: now, target: -1, last: -1}
 	// What an attempt at the servers needs is left for it.
 	budget := min(d.set.Timeout, r.Remaining-time.Duration(needTimes*c.need*float64(time.Second)))
 	q.give = now.Add(budget)
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -19,6 +19,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"yardcleat.example/yardcleat/intake"
+	"yardcleat.example/yardcleat/internal/h2"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/node"
@@ -71,7 +72,7 @@
 func (s *Server) ServeConn(nc net.Conn) {
 	defer nc.Close()
 	c := &conn{s: s, nc: nc, streams: map[uint32]*stream{}, sendWindow: initialWindow, peerWindow: initialWindow,
-		peerFrame: initialFrame, abuse: float64(s.o.Abuse), abuseAt: time.Now()}
+		peerFrame: h2.Frame, abuse: float64(s.o.Abuse), abuseAt: time.Now()}
 	c.cond = sync.NewCond(&c.mu)
 	s.mu.Lock()
 	full := s.closing || len(s.conns) >= s.o.Connections
@@ -112,7 +113,6 @@
 
 const (
 	initialWindow = 65535 // before settings; RFC 9113, 6.9.2
-	initialFrame  = 16384
 	streamWindow  = 64 << 10
 )
 
@@ -164,7 +164,7 @@
 	c.fr = http2.NewFramer(c.nc, c.nc)
 	c.fr.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
 	c.fr.MaxHeaderListSize = uint32(o.HeaderBytes)
-	c.fr.SetMaxReadFrameSize(initialFrame)
+	c.fr.SetMaxReadFrameSize(h2.Frame)
 	c.henc = hpack.NewEncoder(&c.hbuf)
 	err := c.write(func() error {
 		return c.fr.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(o.Streams)},
@@ -693,7 +693,7 @@
 		if res.Status != 204 && res.Status != 304 && st.call.Method != "HEAD" {
 			c.henc.WriteField(hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(body))})
 		}
-		return c.writeHeaders(st.id, c.hbuf.Bytes(), len(body) == 0)
+		return h2.WriteBlock(c.fr, st.id, c.hbuf.Bytes(), len(body) == 0)
 	})
 	if err == nil && len(body) > 0 {
 		timer := time.AfterFunc(c.s.o.WriteTime, func() {
@@ -719,26 +719,6 @@
 	c.remove(st)
 }
 
-func (c *conn) writeHeaders(id uint32, block []byte, end bool) error {
-	first := true
-	for first || len(block) > 0 {
-		n := min(len(block), initialFrame)
-		part, last := block[:n], n == len(block)
-		block = block[n:]
-		var err error
-		if first {
-			err = c.fr.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: part, EndStream: end, EndHeaders: last})
-		} else {
-			err = c.fr.WriteContinuation(id, last, part)
-		}
-		if err != nil {
-			return err
-		}
-		first = false
-	}
-	return nil
-}
-
 func (c *conn) sendBody(st *stream, body []byte) {
 	for len(body) > 0 {
 		c.mu.Lock()
--- a/gateway/tally.go
+++ b/gateway/tally.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +34,7 @@
 	names  map[uint64]string // of customers, by hash
 	peers  map[string][]int
 	inc    uint64
+	saved  []tally.Register // as storage holds them
 }
 
 // newLedger opens what a tally needs. It is nil where no counter is configured.
@@ -108,9 +111,18 @@
 	l.g.node.Do(func() { lists <- l.t.Own(time.Now()) })
 	select {
 	case list := <-lists:
+		slices.SortFunc(list, func(a, b tally.Register) int {
+			return cmp.Or(cmp.Compare(a.Key.Customer, b.Key.Customer), cmp.Compare(a.Key.Window, b.Key.Window),
+				cmp.Compare(a.Owner.Incarnation, b.Owner.Incarnation))
+		})
+		if slices.Equal(list, l.saved) {
+			return
+		}
 		if err := db.Save(list); err != nil {
 			l.g.o.Log.Error("totals can't be stored; the node serves on", "error", err)
+			return
 		}
+		l.saved = list
 	case <-ctx.Done():
 	}
 }
--- a/standin/counter/counter.go
+++ b/standin/counter/counter.go
@@ -25,7 +25,6 @@
 	lose   bool // does what it is told, and answers nothing
 	slow   time.Duration
 	freed  chan struct{} // closed when a silence ends
-	calls  int
 }
 
 type data struct {
@@ -65,13 +64,6 @@
 	s.rs.Close()
 }
 
-// Calls is the number of commands received.
-func (s *Server) Calls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // Totals sums the fields of each hash whose name begins with a prefix, but those
 // that are not numbers.
 func (s *Server) Totals(prefix string) map[string]int64 {
@@ -163,7 +155,6 @@
 		c.SetContext(args[2])
 	}
 	s.mu.Lock()
-	s.calls++
 	silent, lose, slow, refuse, freed := s.silent, s.lose, s.slow, s.refuse, s.freed
 	s.mu.Unlock()
 	if refuse {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -582,7 +582,7 @@
 	p.failed++
 	p.good = 0
 	if p.state != Silent && p.failed > 1 && now.Sub(p.okAt) > silentAfter {
-		t.become(now, a, p, Silent, fmt.Sprintf("%d calls in a row without an answer", p.failed))
+		t.become(a, p, Silent, fmt.Sprintf("%d calls in a row without an answer", p.failed))
 		p.wait = retryFirst
 	} else if p.state == Silent {
 		p.wait = min(2*p.wait, retryMost)
@@ -650,17 +650,17 @@
 			s = Replaced
 		}
 		p.doubt, p.lower, p.lost = false, false, false
-		t.become(now, a, p, s, p.evidence)
+		t.become(a, p, s, p.evidence)
 	case lacks > 0:
 		p.good = 0
 		if p.lacks++; p.lacks >= splitAfter {
-			t.become(now, a, p, Split, fmt.Sprintf("of %s, window %d, %d nodes say they added what is not there", a.key.Customer,
+			t.become(a, p, Split, fmt.Sprintf("of %s, window %d, %d nodes say they added what is not there", a.key.Customer,
 				a.key.Window, lacks))
 		}
 	default:
 		p.lacks = 0
 		if p.good++; p.good >= soundAfter || p.state == Unknown {
-			t.become(now, a, p, Sound, "answers hold all they should")
+			t.become(a, p, Sound, "answers hold all they should")
 		}
 	}
 	// What the answer holds is what is in the counter, also where it is less.
@@ -702,7 +702,7 @@
 	return list
 }
 
-func (t *Tally) become(now time.Time, a *account, p *part, s State, text string) {
+func (t *Tally) become(a *account, p *part, s State, text string) {
 	if p.state == s {
 		return
 	}
@@ -888,14 +888,17 @@
 func (t *Tally) State(part int) State { return t.parts[part].state }
 
 // Own lists the registers of this node that storage must hold: those that the
-// counter has not confirmed, and those of windows still open.
+// counter has not confirmed, and those of windows still open. They are in no
+// order: sorting many would hold the loop up.
 func (t *Tally) Own(now time.Time) []Register {
 	w := t.window(now)
-	var list []Register
-	for _, a := range t.ordered() {
-		for _, o := range a.owners() {
-			if g := a.regs[o]; o.Node == t.set.Me.Node && (g.inCtr < g.units || a.key.Window >= w-1) {
-				list = append(list, Register{a.key, o, g.units})
+	list := make([]Register, 0, len(t.accounts))
+	for _, accounts := range t.windows {
+		for _, a := range accounts {
+			for o, g := range a.regs {
+				if o.Node == t.set.Me.Node && (g.inCtr < g.units || a.key.Window >= w-1) {
+					list = append(list, Register{a.key, o, g.units})
+				}
 			}
 		}
 	}
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"yardcleat.example/yardcleat/internal/h2"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/node"
 )
@@ -25,7 +26,6 @@
 const (
 	h2Window    = 1 << 20 // bytes a server may send on a stream, and on a connection, before it is told to go on
 	h2Initial   = 65535
-	h2Frame     = 16384
 	h2Streams   = 100 // on one connection until its server says another bound
 	h2WriteTime = 5 * time.Second
 )
@@ -198,22 +198,7 @@
 		if len(call.Body) > 0 {
 			put("content-length", strconv.Itoa(len(call.Body)))
 		}
-		block, first := c.hbuf.Bytes(), true
-		for first || len(block) > 0 {
-			n := min(len(block), h2Frame)
-			var err error
-			if first {
-				err = c.fr.WriteHeaders(http2.HeadersFrameParam{StreamID: s.id, BlockFragment: block[:n], EndStream: len(call.Body) == 0,
-					EndHeaders: n == len(block)})
-			} else {
-				err = c.fr.WriteContinuation(s.id, n == len(block), block[:n])
-			}
-			if err != nil {
-				return err
-			}
-			first, block = false, block[n:]
-		}
-		return nil
+		return h2.WriteBlock(c.fr, s.id, c.hbuf.Bytes(), len(call.Body) == 0)
 	})
 	body := call.Body
 	for err == nil && len(body) > 0 {
@@ -221,7 +206,7 @@
 		for !s.over && (s.send <= 0 || c.sendWindow <= 0) {
 			c.cond.Wait()
 		}
-		n := int(min(int64(len(body)), s.send, c.sendWindow, h2Frame))
+		n := int(min(int64(len(body)), s.send, c.sendWindow, h2.Frame))
 		if s.over {
 			c.mu.Unlock()
 			return nil
