Stalls: what lay in the sockets is read and aged before anything is sent

Nobody could say how old what it read was.

A new module, stall, finds gaps from looks at the clock (heartbeat, loop, every reader), says when what was read can have arrived (the kernel's SO_TIMESTAMPNS, bounded by when the socket was last seen empty; else the gap's start), holds the loop behind a barrier until sockets are read to their end, and orders what they held: lists, peers, clients gone, answers, timers, tries. Attempts decided before a gap are not written after it; latencies and took are never negative; a stood authoriser's silence teaches nothing. The peek before each request is gone.

--- a/authz/authz.go
+++ b/authz/authz.go
@@ -111,6 +111,7 @@
 	Latency time.Duration
 	Life    time.Duration // stated by the authoriser for its answer; 0: not stated
 	Kept    any           // the caller's, given back where the answer stands in
+	Stood   bool          // the caller's process stood still meanwhile: no answer says nothing of the address
 }
 
 // Action is something a Decider wants done.
@@ -423,6 +424,9 @@
 	good := a.Verdict == Allowed || a.Verdict == Denied
 	trial := t.trying
 	t.trying = false
+	if !good && a.Stood {
+		return
+	}
 	if !good {
 		t.failures++
 		t.limit = max(floorLimit, t.limit*shrinkFail)
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -188,3 +188,15 @@
 		})
 	}
 }
+
+// Nodes stopped over each other: what came while they stood still is not sent on
+// for clients that have left, with the kernel's word on when it came or without.
+func TestStops(t *testing.T) {
+	for _, stamps := range []bool{true, false} {
+		r := playInBubble(t, source(t, "stops"), func(b *Bubble) { b.Memory.NoStamps = !stamps })
+		if !r.Kept() {
+			r.Write(t.Output())
+			t.Errorf("stamps %v: a rule was broken", stamps)
+		}
+	}
+}
--- a/day/env.go
+++ b/day/env.go
@@ -179,7 +179,6 @@
 
 func (n *inBubble) Stop(d time.Duration) {
 	n.host.Pause()
-	n.g.Stall(d)
 	time.Sleep(d)
 	n.host.Resume()
 }
--- a/front/extauthz/server.go
+++ b/front/extauthz/server.go
@@ -25,11 +25,13 @@
 	rpc "google.golang.org/genproto/googleapis/rpc/status"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/internal/pulse"
 	"yardcleat.example/yardcleat/node"
 	"yardcleat.example/yardcleat/policy"
 	"yardcleat.example/yardcleat/upstream"
@@ -124,7 +126,12 @@
 			"customer", t.Customer, "reason", string(early.Reason), "detail", early.Detail)
 		return s.denied(t, *early), nil
 	}
+	if p, ok := peer.FromContext(ctx); ok {
+		t.Arrived = pulse.ArrivedBy(p.Addr)
+	}
 	if by, ok := ctx.Deadline(); ok {
+		// It counts from when the call was read: what the proxy gave it is as much
+		// from when it arrived, and no more.
 		t.Patience = min(t.Patience, time.Until(by))
 	}
 	t.Proxied = true
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -16,6 +16,7 @@
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pulse"
 	"yardcleat.example/yardcleat/node"
 )
 
@@ -106,7 +107,9 @@
 	s       *Server
 	nc      net.Conn
 	r       *http1.Reader
-	busy    bool // a request is under way; under the server's lock
+	busy    bool      // a request is under way; under the server's lock
+	began   time.Time // when the first byte of the request under way arrived
+	next    time.Time // and of one that came while another was under way; zero: none did
 	buf     []byte
 	answers chan node.Answer
 }
@@ -138,6 +141,10 @@
 				return
 			}
 		}
+		c.began, c.next = c.next, time.Time{}
+		if c.began.IsZero() {
+			c.began = pulse.Arrived(c.nc)
+		}
 		c.setBusy(true)
 		if !c.one() {
 			return
@@ -196,20 +203,18 @@
 // wait puts a try to the node and waits for its answer, or for the client to
 // leave; one that closes its sending side is taken to have left.
 func (c *conn) wait(t *node.Try) (a node.Answer, ok bool) {
-	if left(c.nc) {
-		return a, false // it was gone before the request was read
-	}
 	c.nc.SetReadDeadline(time.Time{})
+	t.Arrived = c.began
 	gone := c.s.o.Node.Take(t, func(a node.Answer) { c.answers <- a })
 	watched := make(chan error, 1)
-	go func() { watched <- c.r.Await() }()
+	go func() { watched <- c.watch() }()
 	select {
 	case a = <-c.answers:
 		c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the watch
 		err := <-watched
 		return a, err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 	case err := <-watched:
-		if err == nil { // the next request, pipelined, waits for its turn
+		if err == nil { // the buffer is full of requests that wait for their turn
 			return <-c.answers, true
 		}
 		gone()
@@ -218,6 +223,23 @@
 	}
 }
 
+// watch waits for the client to leave. What comes meanwhile is the next request,
+// pipelined, which waits for its turn; nil where no more of it can be held.
+func (c *conn) watch() error {
+	for {
+		had := c.r.Buffered()
+		err := c.r.Await()
+		switch {
+		case err != nil:
+			return err
+		case c.r.Buffered() == had:
+			return nil
+		case c.next.IsZero():
+			c.next = pulse.Arrived(c.nc)
+		}
+	}
+}
+
 // refuse answers what could not be read, as far as there is someone to answer,
 // and closes the connection.
 func (c *conn) refuse(req *http1.Request, err error) bool {
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -22,6 +22,7 @@
 	"yardcleat.example/yardcleat/internal/h2"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pulse"
 	"yardcleat.example/yardcleat/node"
 )
 
@@ -143,6 +144,7 @@
 // stream is one request.
 type stream struct {
 	id     uint32
+	began  time.Time // when its header arrived
 	call   node.Call
 	size   int64 // of the body as announced; -1: not
 	body   []byte
@@ -373,7 +375,7 @@
 		}
 		return c.write(func() error { return c.fr.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
 	}
-	st = &stream{id: id, size: -1, gone: make(chan struct{})}
+	st = &stream{id: id, size: -1, gone: make(chan struct{}), began: pulse.Arrived(c.nc)}
 	status, why := c.call(st, f)
 	if status < 0 {
 		return http2.StreamError{StreamID: id, Code: http2.ErrCodeProtocol}
@@ -642,6 +644,7 @@
 			"reason", string(a.Reason), "detail", a.Detail)
 	} else {
 		t.Client, t.Local = c.nc.RemoteAddr().String(), c.nc.LocalAddr().String()
+		t.Arrived = st.began
 		answers := make(chan node.Answer, 1)
 		gone := o.Node.Take(t, func(a node.Answer) { answers <- a })
 		select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,9 +23,11 @@
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pulse"
 	"yardcleat.example/yardcleat/node"
 	"yardcleat.example/yardcleat/peer"
 	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/stall"
 	"yardcleat.example/yardcleat/store"
 	"yardcleat.example/yardcleat/upstream"
 )
@@ -69,11 +71,16 @@
 			g.close()
 		}
 	}()
+	base := time.Now()
+	clock := pulse.New(base, o.Network, stall.Default())
+	g.closes = append(g.closes, clock.Close)
+	g.o.Network = clock.Watched(o.Network)
+	o.Network = g.o.Network
 	opt := node.Options{Settings: cfg.Settings(), Seed: o.Seed, Log: o.Log, Margin: cfg.Limits.AnswerMargin,
-		Most: cfg.Limits.Requests, Base: time.Now(), Tell: func(int, []byte) {}}
+		Most: cfg.Limits.Requests, Base: base, Clock: clock, Tell: func(int, []byte) {}}
 	pool := upstream.New(upstream.Options{Network: o.Network, ConnectTime: cfg.Limits.ConnectTime, Idle: cfg.Limits.IdleUpstream,
 		Limits:     g.limits(cfg.Limits.AnswerBody),
-		TurnedAway: g.turnedAway(), HTTP2: cfg.Servers.HTTP2})
+		TurnedAway: g.turnedAway(), HTTP2: cfg.Servers.HTTP2, Stood: clock.Stood})
 	g.closes = append(g.closes, pool.Close)
 	opt.Upstream = pool
 	if a := cfg.Authoriser; a != nil {
--- a/internal/network/memory.go
+++ b/internal/network/memory.go
@@ -24,6 +24,9 @@
 	packets   map[string]*memPacketConn
 	nextPort  int
 	loss      func(from, to string) float64
+	// NoStamps has connections not say when their bytes arrived, as systems
+	// without kernel timestamps.
+	NoStamps bool
 }
 
 // NewMemory returns an empty network. The seed draws which packets are lost.
@@ -74,6 +77,9 @@
 	}
 }
 
+// Running returns while the host is not paused; else once it goes on.
+func (h *Host) Running() { h.running() }
+
 func (h *Host) running() {
 	h.mu.Lock()
 	stop := h.stop
@@ -104,6 +110,7 @@
 // Kill closes all the host has open at once, as the kernel does for a process
 // killed outright: connections are reset. The Host is of no use afterwards.
 func (h *Host) Kill() {
+	h.Resume() // what waits is to see its end
 	h.mu.Lock()
 	h.dead = true
 	open := h.open
@@ -157,6 +164,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	h.running()
 	h.m.mu.Lock()
 	defer h.m.mu.Unlock()
 	l := h.m.listeners[addr]
@@ -198,6 +206,9 @@
 
 func (l *memListener) Addr() net.Addr { return l.addr }
 
+// Readable tells whether a connection waits to be taken.
+func (l *memListener) Readable() bool { return len(l.conns) > 0 }
+
 func (l *memListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
@@ -238,6 +249,7 @@
 	eofAt    time.Time // when the reader learns of it
 	err      error     // ends both sides at once
 	closed   bool      // the reader went away
+	last     time.Time // when what was read last arrived
 	deadline [2]time.Time
 	timers   [2]*time.Timer
 }
@@ -304,6 +316,7 @@
 			return 0, os.ErrDeadlineExceeded
 		case len(s.chunks) > 0 && !now.Before(s.chunks[0].at):
 			n := copy(b, s.chunks[0].data)
+			s.last = s.chunks[0].at
 			if s.chunks[0].data = s.chunks[0].data[n:]; len(s.chunks[0].data) == 0 {
 				s.chunks = s.chunks[1:]
 			}
@@ -386,11 +399,20 @@
 	return c.tx.write(b)
 }
 
-// Left tells whether the other end has closed or reset the connection.
-func (c *memConn) Left() bool {
+// Readable tells whether there is something to read, or the end.
+func (c *memConn) Readable() bool {
 	c.rx.mu.Lock()
 	defer c.rx.mu.Unlock()
-	return c.rx.err != nil || c.rx.eof && !time.Now().Before(c.rx.eofAt)
+	now := time.Now()
+	return len(c.rx.chunks) > 0 && !now.Before(c.rx.chunks[0].at) || c.rx.err != nil ||
+		len(c.rx.chunks) == 0 && c.rx.eof && !now.Before(c.rx.eofAt)
+}
+
+// Arrived is when what was last read arrived; false where that is not known.
+func (c *memConn) Arrived() (time.Time, bool) {
+	c.rx.mu.Lock()
+	defer c.rx.mu.Unlock()
+	return c.rx.last, !c.h.m.NoStamps
 }
 
 func (c *memConn) SetDeadline(t time.Time) error {
@@ -469,6 +491,9 @@
 	done chan struct{}
 }
 
+// Readable tells whether a packet waits.
+func (p *memPacketConn) Readable() bool { return len(p.in) > 0 }
+
 func (p *memPacketConn) LocalAddr() net.Addr { return p.addr }
 
 func (p *memPacketConn) ReadFrom(b []byte) (int, net.Addr, error) {
@@ -521,6 +546,9 @@
 
 // Addr makes the address of a packet's receiver.
 func Addr(n Network, addr string) (net.Addr, error) {
+	if u, ok := n.(interface{ Unwrap() Network }); ok {
+		return Addr(u.Unwrap(), addr)
+	}
 	if _, ok := n.(*Host); ok {
 		return memAddr(addr), nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"yardcleat.example/yardcleat/authz"
 	"yardcleat.example/yardcleat/internal/timers"
 	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/stall"
 )
 
 // Options is what a node is made of.
@@ -26,8 +28,26 @@
 	Most       int                       // requests not answered yet
 	Base       time.Time                 // the node's time 0; zero: now
 	Ledger     Ledger                    // nil: none
+	Clock      Clock                     // nil: one that finds no gaps
+	Stall      stall.Settings            // zero: stall.Default
 }
 
+// Clock tells the time since Options.Base, and where the process did not run.
+type Clock interface {
+	Now() time.Duration
+	Gaps() int64                              // found so far
+	Ran(from, to time.Duration) time.Duration // how much of a time the process ran
+	Unread() int                              // sockets that may hold what came before the last gap's end
+}
+
+// steady is a Clock of a process that always runs.
+type steady struct{ base time.Time }
+
+func (s steady) Now() time.Duration                     { return time.Since(s.base) }
+func (steady) Gaps() int64                              { return 0 }
+func (steady) Ran(from, to time.Duration) time.Duration { return max(0, to-from) }
+func (steady) Unread() int                              { return 0 }
+
 // Ledger is told of what is asked for and passed, in the loop.
 type Ledger interface {
 	Seen(t *Try)   // a request is given to the module
@@ -40,7 +60,7 @@
 	base time.Time
 
 	mu      sync.Mutex
-	queue   []func()
+	queue   []item
 	wake    chan struct{}
 	closing bool // drains: takes no more tries
 	open    int  // tries not answered yet
@@ -50,6 +70,9 @@
 	gw      *policy.Gateway
 	seed    uint64
 	now     time.Duration
+	gaps    int64 // that the loop knows of
+	barrier stall.Barrier
+	held    []item // what waits behind it
 	wheel   timers.Wheel
 	reqs    map[policy.RequestID]*request
 	nextID  policy.RequestID
@@ -90,6 +113,13 @@
 	checkedAs Checked
 	allowed   Checked // what the authoriser changes
 	taken     time.Duration
+	left      bool // its client left before it was begun
+}
+
+// item is something for the loop to do.
+type item struct {
+	kind stall.Kind
+	do   func()
 }
 
 // New returns a node that Run starts.
@@ -101,19 +131,25 @@
 	if o.Base.IsZero() {
 		o.Base = time.Now()
 	}
-	return &Node{o: o, base: o.Base, gw: gw, seed: o.Seed, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1),
+	if o.Clock == nil {
+		o.Clock = steady{o.Base}
+	}
+	if o.Stall == (stall.Settings{}) {
+		o.Stall = stall.Default()
+	}
+	return &Node{o: o, base: o.Base, gw: gw, barrier: stall.NewBarrier(o.Stall), seed: o.Seed, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1),
 		reqs: map[policy.RequestID]*request{}, servers: map[policy.ServerID]string{}}, nil
 }
 
 // post gives the loop something to do.
-func (n *Node) post(f func()) {
+func (n *Node) post(kind stall.Kind, f func()) {
 	n.mu.Lock()
-	n.enqueue(f)
+	n.enqueue(item{kind, f})
 	n.mu.Unlock()
 }
 
 // enqueue is post under n.mu.
-func (n *Node) enqueue(f func()) {
+func (n *Node) enqueue(f item) {
 	n.queue = append(n.queue, f)
 	if len(n.queue) == 1 {
 		select {
@@ -128,21 +164,34 @@
 func (n *Node) Run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	var batch []func()
+	var batch []item
 	for {
-		// What ran out goes first: after a stall, nothing is done for requests
-		// that are too late.
-		n.now = time.Since(n.base)
-		n.wheel.Advance(n.now)
-		n.settle()
+		// Nobody looked while the loop waited: only the clock knows of gaps.
+		n.now = max(n.now, n.o.Clock.Now())
+		n.look()
 		n.mu.Lock()
 		batch, n.queue = n.queue, batch[:0]
 		n.mu.Unlock()
-		for i, f := range batch {
-			f()
-			n.settle()
-			batch[i] = nil
+		var next time.Duration
+		if n.barrier.On() {
+			n.held = append(n.held, batch...)
+			if next = n.barrier.Look(n.now, n.o.Clock.Unread()); n.barrier.On() {
+				timer.Reset(next)
+				select {
+				case <-timer.C:
+					continue
+				case <-ctx.Done():
+					n.end()
+					return
+				}
+			}
+			n.after()
+			continue
 		}
+		// What ran out goes first: nothing is done for requests that are too late.
+		n.wheel.Advance(n.now)
+		n.settle()
+		n.carry(batch)
 		if len(batch) > 0 {
 			continue
 		}
@@ -155,32 +204,84 @@
 		case <-n.wake:
 		case <-timer.C:
 		case <-ctx.Done():
-			n.mu.Lock()
-			n.closing = true
-			batch, n.queue = n.queue, nil
-			n.mu.Unlock()
-			for _, f := range batch {
-				f()
-			}
-			n.failAll("stopped")
+			n.end()
 			return
 		}
 	}
 }
 
+// end fails what is not answered.
+func (n *Node) end() {
+	n.mu.Lock()
+	n.closing = true
+	batch := append(n.held, n.queue...)
+	n.held, n.queue = nil, nil
+	n.mu.Unlock()
+	for _, f := range batch {
+		f.do()
+	}
+	n.failAll("stopped")
+}
+
+// look takes the time, and raises the barrier after a gap: of the process, or of
+// the loop alone, which has not looked for too long.
+func (n *Node) look() {
+	now := n.o.Clock.Now()
+	gaps := n.o.Clock.Gaps()
+	if gaps != n.gaps || now-n.now > n.o.Stall.Least {
+		n.o.Log.Warn("the process did not run: what came in meanwhile is read first", "since", now-n.now)
+		n.gaps = gaps
+		n.barrier.Raise(now)
+	}
+	n.now = max(n.now, now)
+}
+
+// carry does what waited, as long as the process runs; what a gap comes before
+// waits behind the barrier.
+func (n *Node) carry(batch []item) {
+	for i, f := range batch {
+		if n.look(); n.barrier.On() {
+			n.held = append(n.held, batch[i:]...)
+			break
+		}
+		f.do()
+		n.settle()
+	}
+	clear(batch)
+}
+
+// after does what waited behind the barrier, in the order that package stall
+// gives it.
+func (n *Node) after() {
+	held := n.held
+	n.held = nil
+	before := stall.Order(held, func(f item) stall.Kind { return f.kind })
+	n.carry(held[:before])
+	if n.barrier.On() {
+		n.held = append(n.held, held[before:]...)
+		return
+	}
+	n.wheel.Advance(n.now)
+	n.settle()
+	n.carry(held[before:])
+}
+
 // Take takes a try; reply is called once with its final answer, from the loop
 // or at once, and must not block. The returned function says that the client
 // has left.
 func (n *Node) Take(t *Try, reply func(Answer)) (gone func()) {
 	r := &request{try: t, reply: reply}
-	at := time.Since(n.base)
+	at := n.o.Clock.Now()
+	if !t.Arrived.IsZero() {
+		at = t.Arrived.Sub(n.base)
+	}
 	n.mu.Lock()
 	closing, full := n.closing, n.open >= n.o.Most
 	if !closing && !full {
 		// Under one lock with the look at closing: once that is set, the loop
 		// empties the queue a last time.
 		n.open++
-		n.enqueue(func() { n.begin(r, at) })
+		n.enqueue(item{stall.Asked, func() { n.begin(r, at) }})
 	}
 	n.mu.Unlock()
 	if closing || full {
@@ -193,16 +294,16 @@
 		reply(a)
 		return func() {}
 	}
-	return func() { n.post(func() { n.clientGone(r) }) }
+	return func() { n.post(stall.Left, func() { n.clientGone(r) }) }
 }
 
 // Peer tells of a message from a peer.
 func (n *Node) Peer(from int, data []byte) {
-	n.post(func() { n.feed(policy.PeerMessage{From: from, Data: data}) })
+	n.post(stall.Heard, func() { n.feed(policy.PeerMessage{From: from, Data: data}) })
 }
 
 // Do runs f in the loop, in turn with all else that happens.
-func (n *Node) Do(f func()) { n.post(f) }
+func (n *Node) Do(f func()) { n.post(stall.Other, f) }
 
 // Level tells the module how full a customer's store is; from the loop only.
 func (n *Node) Level(customer string, units float64) {
@@ -211,7 +312,7 @@
 
 // Members tells of the server list.
 func (n *Node) Members(kind policy.MembersKind, list []Server) {
-	n.post(func() {
+	n.post(stall.Listed, func() {
 		m := policy.Members{Kind: kind}
 		for _, s := range list {
 			if !s.Started.IsZero() {
@@ -229,7 +330,7 @@
 
 // Ended tells how the attempt that a Go let a proxy make has ended.
 func (n *Node) Ended(id policy.RequestID, attempt int, res Result) {
-	n.post(func() {
+	n.post(stall.Ended, func() {
 		if r := n.reqs[id]; r != nil && r.live && r.try.Proxied && attempt == r.attempts-1 {
 			n.attemptEnded(r, attempt, res)
 		}
@@ -237,10 +338,10 @@
 }
 
 // Stall holds the loop up for a time, as a stopped process is; for tests.
-func (n *Node) Stall(d time.Duration) { n.post(func() { time.Sleep(d) }) }
+func (n *Node) Stall(d time.Duration) { n.post(stall.Other, func() { time.Sleep(d) }) }
 
 // Break makes the module panic at its next event; for tests.
-func (n *Node) Break() { n.post(func() { n.gw = nil; n.feed(policy.Timer{}) }) }
+func (n *Node) Break() { n.post(stall.Other, func() { n.gw = nil; n.feed(policy.Timer{}) }) }
 
 // Drain lets no more tries in and waits until all are answered, or the context
 // ends.
@@ -274,6 +375,16 @@
 	r.id, r.taken = n.nextID, at
 	r.deadline = at + max(r.try.Patience-n.o.Margin, r.try.Patience/2)
 	n.reqs[r.id] = r
+	if r.left || r.deadline <= n.now {
+		// It waited for too long, or for nobody.
+		a := Answer{Kind: Refused, Reason: NoTime, RetryAfter: n.o.Settings.MaxRetryAfter}
+		if r.left {
+			a = Answer{Kind: Failed, Reason: ClientGone}
+		}
+		n.answer(r, a)
+		n.forget(r)
+		return
+	}
 	r.timer = n.wheel.Add(r.deadline, func() { n.expire(r) })
 	if n.o.Authz == nil {
 		n.decide(r)
@@ -299,7 +410,7 @@
 			r.check, r.checkAt = a.Try, n.now
 			r.limit = n.wheel.Add(n.now+a.Budget, func() { n.checked(r, a.Try, Checked{Verdict: authz.Late, Detail: "authoriser: no answer in time"}) })
 			r.cancel = n.o.Authoriser.Check(a.Target, r.try, a.Budget, func(c Checked) {
-				n.post(func() { n.checked(r, a.Try, c) })
+				n.post(stall.Ended, func() { n.checked(r, a.Try, c) })
 			})
 		case authz.Cancel:
 			if r := n.reqs[policy.RequestID(a.ID)]; r != nil {
@@ -330,8 +441,9 @@
 	}
 	n.endWork(r)
 	r.checkedAs = c
-	n.authorise(n.o.Authz.Answered(n.wall(), uint64(r.id), try, authz.Answer{Verdict: c.Verdict, Latency: n.now - r.checkAt,
-		Life: c.Life, Kept: c}))
+	n.authorise(n.o.Authz.Answered(n.wall(), uint64(r.id), try, authz.Answer{Verdict: c.Verdict, Latency: n.o.Clock.Ran(r.checkAt, n.now),
+		Stood: n.o.Clock.Ran(r.checkAt, n.now) < n.now-r.checkAt,
+		Life:  c.Life, Kept: c}))
 }
 
 // endWork ends the Check or the attempt that is out.
@@ -507,9 +619,9 @@
 			Allowed: r.allowed}})
 		return
 	}
-	r.cancel = n.o.Upstream.Start(Attempt{ID: r.id, Number: attempt, Address: address, Timeout: left, Try: r.try},
+	r.cancel = n.o.Upstream.Start(Attempt{ID: r.id, Number: attempt, Address: address, Timeout: left, Try: r.try, Decided: n.base.Add(n.now)},
 		func(res Result) {
-			n.post(func() {
+			n.post(stall.Ended, func() {
 				if r.live && attempt == r.attempts-1 {
 					r.cancel = nil // it has ended by itself
 					n.attemptEnded(r, attempt, res)
@@ -534,14 +646,14 @@
 		n.answer(r, Answer{Kind: Served, Response: res.Response})
 	}
 	if res.Code == policy.OK && n.o.Authz != nil {
-		n.o.Authz.Took(r.try.Class, n.now-r.sentAt)
+		n.o.Authz.Took(r.try.Class, cmp.Or(res.Latency, n.o.Clock.Ran(r.sentAt, n.now)))
 	}
 	over := r.state == answered
 	if r.state == out {
 		r.state = deciding
 	}
 	if res.Latency == 0 {
-		res.Latency = n.now - r.sentAt
+		res.Latency = n.o.Clock.Ran(r.sentAt, n.now)
 	}
 	n.feed(policy.Outcome{ID: r.id, Attempt: attempt, Server: r.server, Code: res.Code, Latency: res.Latency, Over: over})
 	n.done(r)
@@ -580,6 +692,10 @@
 // clientGone comes when a client left before its answer. Nothing more is owed;
 // an attempt that is out runs to its end.
 func (n *Node) clientGone(r *request) {
+	if r.id == 0 {
+		r.left = true // it is not begun yet
+		return
+	}
 	if r.state == answered {
 		return
 	}
@@ -596,7 +712,7 @@
 	}
 	r.state = answered
 	r.timer.Stop()
-	n.line(r.try, a, n.now-r.taken, r.attempts, r.detail)
+	n.line(r.try, a, max(0, n.now-r.taken), r.attempts, r.detail)
 	r.reply(a)
 	n.mu.Lock()
 	n.open--
--- a/node/types.go
+++ b/node/types.go
@@ -29,7 +29,8 @@
 	Units    float64
 	First    int // the customer comes in through Spread nodes from First on
 	Spread   int
-	Patience time.Duration // until the client gives up
+	Arrived  time.Time     // when it came in; zero: as it is taken
+	Patience time.Duration // from then until the client gives up
 	Repeat   bool          // the client marked it as one
 	Proxied  bool          // the front's client forwards it itself; an Answer with Go lets it
 	Call     Call
@@ -112,6 +113,7 @@
 	Address string
 	Timeout time.Duration // told to the server; the node ends the attempt itself
 	Try     *Try
+	Decided time.Time // when the module said so
 }
 
 // Result is how an attempt ended.
@@ -119,7 +121,7 @@
 	Code     policy.Code
 	Response *Response     // of OK, and of Error where there was one
 	Detail   string        // for logs
-	Latency  time.Duration // as measured where the attempt was made; 0: by the node
+	Latency  time.Duration // from Decided on, as measured where the attempt was made; 0: by the node
 }
 
 // Upstream makes attempts. Start returns at once; done is called once, from any
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -30,6 +30,9 @@
 	h2WriteTime = 5 * time.Second
 )
 
+// errLate ends a request that is too late to be sent.
+var errLate = errors.New("too late to send")
+
 // h2conn is one connection to a server.
 type h2conn struct {
 	p       *Pool
@@ -75,13 +78,14 @@
 	over := t.over
 	t.reset = func() { c.reset(s, http2.ErrCodeCancel) }
 	t.mu.Unlock()
-	if over || t.Timeout > 0 && time.Since(t.start) >= t.Timeout {
-		c.remove(s) // not a byte of it was sent
-		code, detail := ended(nothingSent, errors.New("too late to send"))
-		t.end(node.Result{Code: code, Detail: detail}, false)
-		return
+	if !over {
+		err = c.request(s, &t.Try.Call)
 	}
-	if err := c.request(s, &t.Try.Call); err != nil {
+	switch {
+	case over || errors.Is(err, errLate):
+		c.remove(s) // not a byte of it was sent
+		t.end(moot, false)
+	case err != nil:
 		c.fail(s, partSent, err)
 	}
 }
@@ -169,12 +173,18 @@
 
 // request sends a request; numbers of streams rise in the order they are sent.
 func (c *h2conn) request(s *h2stream, call *node.Call) error {
+	late := false
 	err := c.write(func() error {
 		c.mu.Lock()
 		if c.closed || s.over {
 			c.mu.Unlock()
 			return nil // its end is told by who ended it
 		}
+		if s.t.late() {
+			late = true
+			c.mu.Unlock()
+			return nil
+		}
 		for id, other := range c.streams {
 			if other == s {
 				delete(c.streams, id)
@@ -200,6 +210,9 @@
 		}
 		return h2.WriteBlock(c.fr, s.id, c.hbuf.Bytes(), len(call.Body) == 0)
 	})
+	if late {
+		return errLate // the connection is as good as before
+	}
 	body := call.Body
 	for err == nil && len(body) > 0 {
 		c.mu.Lock()
@@ -476,7 +489,7 @@
 	if !c.remove(s) {
 		return
 	}
-	result := node.Result{Code: c.p.o.TurnedAway.code(s.head), Response: &node.Response{Status: s.head.Status,
+	result := node.Result{Code: c.p.o.TurnedAway.code(s.head), Latency: s.t.took(c.nc), Response: &node.Response{Status: s.head.Status,
 		Header: s.head.Header.EndToEnd(), Body: s.body}}
 	if s.head.Status >= 500 {
 		result.Detail = fmt.Sprintf("status %d", s.head.Status)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -10,6 +10,7 @@
 
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pulse"
 	"yardcleat.example/yardcleat/node"
 	"yardcleat.example/yardcleat/policy"
 )
@@ -22,6 +23,9 @@
 	Idle        int           // idle connections kept to each server
 	TurnedAway  TurnedAway
 	HTTP2       bool // servers speak HTTP/2, by prior knowledge
+	// Stood tells whether the process stood still after a time; nil: it never
+	// does. What was decided before is not sent after.
+	Stood func(since time.Time) bool
 }
 
 // Pool keeps connections to servers and makes attempts on them. It is a
@@ -128,9 +132,8 @@
 		}
 		t.c = c
 		t.mu.Unlock()
-		if t.Timeout > 0 && time.Since(t.start) >= t.Timeout {
-			// The process stood still in between; the node is about to give it up.
-			t.end(node.Result{Code: policy.Moot, Detail: "too late to send"}, true)
+		if t.late() {
+			t.end(moot, true)
 			t.written()
 			return
 		}
@@ -160,6 +163,24 @@
 	}
 }
 
+// moot is how an attempt ends that is not sent because too much time has passed,
+// or the process stood still, since it was decided: its client may have left, and
+// its server drain.
+var moot = node.Result{Code: policy.Moot, Detail: "too late to send"}
+
+func (t *attempt) late() bool {
+	return t.Timeout > 0 && time.Since(t.start) >= t.Timeout || t.p.o.Stood != nil && t.p.o.Stood(t.Decided)
+}
+
+// took is how long a response was on its way that a connection has just given.
+func (t *attempt) took(nc net.Conn) time.Duration {
+	at := pulse.Arrived(nc)
+	if at.IsZero() || t.Decided.IsZero() {
+		return 0 // the node's to measure
+	}
+	return max(1, at.Sub(t.Decided))
+}
+
 // connect takes a kept connection or makes one.
 func (t *attempt) connect(ctx context.Context) (c *conn, fresh bool, err error) {
 	if c := t.p.take(t.Address); c != nil {
@@ -326,7 +347,7 @@
 		return false
 	}
 	res := &node.Response{Status: head.Status, Header: head.Header.EndToEnd(), Body: body}
-	result := node.Result{Code: c.p.o.TurnedAway.code(head), Response: res}
+	result := node.Result{Code: c.p.o.TurnedAway.code(head), Response: res, Latency: t.took(c.nc)}
 	if result.Code != policy.OK {
 		result.Detail = fmt.Sprintf("status %d", head.Status)
 	}
