--- a/audit/records.go
+++ b/audit/records.go
@@ -73,13 +73,16 @@
 
 // Record is all that was recorded of a run.
 type Record struct {
-	Tried    []Tried
-	Seen     []Seen
-	Told     []Told
-	Fell     []Fell
-	Down     []Down
-	Classes  map[string]Class
-	Ceilings map[string]Ceiling // by plan
-	Grace    time.Duration      // of drains
-	Slop     time.Duration      // by which records of one machine may be late
+	Tried []Tried
+	Seen  []Seen
+	Told  []Told
+	Fell  []Fell
+	Down  []Down
+	// ProxyDown is when the proxy before a node did not run: what it held has no
+	// answer.
+	ProxyDown []Down
+	Classes   map[string]Class
+	Ceilings  map[string]Ceiling // by plan
+	Grace     time.Duration      // of drains
+	Slop      time.Duration      // by which records of one machine may be late
 }
--- /dev/null
+++ b/day/check.go
@@ -0,0 +1,214 @@
+package day
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/hashicorp/hcl/v2/hclwrite"
+)
+
+// positions notes where the blocks of a script stand, by type, in the order in
+// which they are decoded.
+func positions(files []*hcl.File) map[string][]hcl.Range {
+	at := map[string][]hcl.Range{}
+	for _, f := range files {
+		if body, ok := f.Body.(*hclsyntax.Body); ok {
+			for _, b := range body.Blocks {
+				at[b.Type] = append(at[b.Type], b.DefRange())
+			}
+		}
+	}
+	return at
+}
+
+// checker collects a script's mistakes, each with its place.
+type checker struct {
+	s    *Script
+	name string
+	errs []error
+}
+
+func (c *checker) wrong(block string, i int, format string, args ...any) {
+	place := c.name
+	if list := c.s.at[block]; i < len(list) {
+		place = fmt.Sprintf("%s:%d", list[i].Filename, list[i].Start.Line)
+	}
+	c.errs = append(c.errs, fmt.Errorf("%s: %s", place, fmt.Sprintf(format, args...)))
+}
+
+// duration checks one; "" stands for none.
+func (c *checker) duration(block string, i int, what string, d Duration) {
+	if v, err := time.ParseDuration(d); d != "" && (err != nil || v < 0 && what != "arg") {
+		c.wrong(block, i, "%s: %q is not a duration such as \"250ms\"", what, d)
+	}
+}
+
+func (s *Script) check(name string) error {
+	c := &checker{s: s, name: name}
+	for what, d := range map[string]Duration{"warm_within": s.Servers.WarmWithin, "fall_time": s.Servers.FallTime,
+		"drain_grace": s.Servers.Grace, "told_late": s.Servers.Late} {
+		c.duration("servers", 0, what, d)
+	}
+	c.duration("clients", 0, "wait", s.Clients.Wait)
+	c.duration("", 0, "length", s.Length)
+	for i, cl := range s.Classes {
+		for what, d := range map[string]Duration{"aim": cl.Aim, "deadline": cl.Deadline, "work": cl.Work, "window": cl.Window} {
+			c.duration("class", i, what, d)
+		}
+	}
+	for i, cu := range s.Customers {
+		if !slices.ContainsFunc(s.Plans, func(p Plan) bool { return p.Name == cu.Plan }) {
+			c.wrong("customers", i, "customers %q: there is no plan %q", cu.Name, cu.Plan)
+		}
+	}
+	if s.Nodes < 1 || s.Servers.Count < 1 || s.Servers.Racks < 1 || len(s.Classes) == 0 || len(s.Customers) == 0 {
+		c.wrong("", 0, "at least one node, server, rack, class and group of customers is needed")
+	}
+	for i, f := range s.Faults {
+		c.fault(i, f)
+	}
+	if len(c.errs) == 0 {
+		c.order()
+	}
+	return errors.Join(c.errs...)
+}
+
+// fault checks one fault by itself.
+func (c *checker) fault(i int, f Fault) {
+	s := c.s
+	wrong := func(format string, args ...any) {
+		c.wrong("fault", i, "fault %q: "+format, append([]any{f.Kind}, args...)...)
+	}
+	k, known := kinds[f.Kind]
+	if !known {
+		wrong("there is no such kind")
+		return
+	}
+	c.duration("fault", i, "at", f.At)
+	c.duration("fault", i, "for", f.For)
+	parts := 0
+	if s.Counter != nil {
+		parts = s.Counter.Parts
+	}
+	if n := map[string]int{"node": s.Nodes, "server": s.Servers.Count, "part": parts, "": 1}[k.target]; n == 0 {
+		wrong("the script has no counter")
+	} else if f.Target < 0 || f.Target >= n {
+		wrong("target %d; the %ss are numbered 0 to %d", f.Target, k.target, n-1)
+	}
+	switch k.arg {
+	case "factor", "share":
+		if v, err := strconv.ParseFloat(f.Arg, 64); err != nil || v < 0 || k.arg == "share" && v > 1 || k.arg == "factor" && v == 0 {
+			wrong("arg %q is not a %s", f.Arg, k.arg)
+		}
+	case "duration":
+		if f.Arg == "" {
+			wrong("arg: a duration is needed")
+		}
+		c.duration("fault", i, "arg", f.Arg)
+	case "node":
+		if n, err := strconv.Atoi(f.Arg); err != nil || n < 0 || n >= s.Nodes || n == f.Target {
+			wrong("arg %q is not the number of another node", f.Arg)
+		}
+	case "first, second or both":
+		if !slices.Contains([]string{"first", "second", "both"}, f.Arg) {
+			wrong("arg %q is not first, second or both", f.Arg)
+		}
+	case "class":
+		if !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == f.Arg }) {
+			wrong("there is no class %q", f.Arg)
+		}
+	}
+}
+
+// Restart is what a node may take from its start on until it takes connections.
+const Restart = 500 * time.Millisecond
+
+// order plays the faults through on paper, in order of time: one that can't
+// happen when its turn comes is a mistake.
+func (c *checker) order() {
+	type state struct {
+		what  string        // it is, where it is not simply running
+		until time.Duration // for so long; after that it runs
+		back  time.Duration // a server that is gone may return from then on
+	}
+	const ever = 1 << 62
+	nodes, servers, proxies := map[int]state{}, map[int]state{}, map[int]state{}
+	turn := make([]int, len(c.s.Faults))
+	for i := range turn {
+		turn[i] = i
+	}
+	slices.SortStableFunc(turn, func(a, b int) int { return cmp.Compare(dur(c.s.Faults[a].At), dur(c.s.Faults[b].At)) })
+	for _, i := range turn {
+		f := c.s.Faults[i]
+		at, end := dur(f.At), dur(f.At)+dur(f.For)
+		k := kinds[f.Kind]
+		now := map[string]map[int]state{"node": nodes, "server": servers}[k.target][f.Target]
+		if f.Kind == "proxy-kill" {
+			now = proxies[f.Target]
+		}
+		if now.until <= at {
+			now = state{}
+		}
+		// A stopped node may be killed; all else needs what runs.
+		if now.what != "" && f.Kind != "server-return" && !(strings.HasPrefix(f.Kind, "node-kill") && now.what == "stopped") &&
+			f.Kind != "peers-cut" && f.Kind != "clock-set" {
+			c.wrong("fault", i, "fault %q at %s: %s %d is %s then", f.Kind, f.At, cmp.Or(k.target, "it"), f.Target, now.what)
+			continue
+		}
+		switch f.Kind {
+		case "node-kill":
+			nodes[f.Target] = state{"dead", end + Restart, 0}
+		case "node-kill-start":
+			nodes[f.Target] = state{"dead", end + dur(f.Arg) + dur(f.For) + 2*Restart, 0}
+		case "node-stop":
+			nodes[f.Target] = state{"stopped", end, 0}
+		case "proxy-kill":
+			proxies[f.Target] = state{"dead", end, 0}
+		case "server-drain", "server-vanish":
+			what := "gone"
+			if f.Kind == "server-drain" {
+				what = "draining or gone"
+			}
+			servers[f.Target] = state{what, ever, end}
+		case "server-flap":
+			servers[f.Target] = state{"off the list", end, ever}
+		case "server-return":
+			switch {
+			case now.what == "":
+				c.wrong("fault", i, "fault %q at %s: server %d runs then", f.Kind, f.At, f.Target)
+			case at <= now.back:
+				c.wrong("fault", i, "fault %q at %s: server %d is not gone from the list before %v", f.Kind, f.At, f.Target, now.back)
+			default:
+				delete(servers, f.Target)
+			}
+		}
+	}
+}
+
+// Source writes a script as a file that Parse reads back.
+func (s *Script) Source() []byte {
+	f := hclwrite.NewEmptyFile()
+	gohcl.EncodeIntoBody(s, f.Body())
+	var out []string
+	for line := range strings.SplitSeq(string(f.Bytes()), "\n") {
+		if !strings.HasSuffix(line, `= ""`) && strings.TrimSpace(line) != `= null` {
+			out = append(out, line)
+		}
+	}
+	return hclwrite.Format([]byte(strings.Join(out, "\n")))
+}
+
+// Check tells what is wrong with a script that was not read from a file.
+func (s *Script) Check() error { return s.check("the day") }
+
+// TargetOf tells what a kind of fault is aimed at: node, server, part of the
+// counter, or nothing.
+func TargetOf(kind string) string { return kinds[kind].target }
--- a/day/env.go
+++ b/day/env.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 	"yardcleat.example/yardcleat/gateway"
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/stall"
 )
 
 // Env is where a day is played.
@@ -123,11 +125,13 @@
 	Log    io.Writer
 	Seed   uint64
 	hosts  int
+	wall   sync.Map // what a node's wall clock is ahead, by number
 
 	// Defects, to see the audit find them: Edit changes a node's configuration,
 	// Deafen what it hears of the server list.
 	Edit   func([]byte) []byte
 	Deafen func([]node.Server) []node.Server
+	Stall  stall.Settings // zero: the default
 }
 
 // Network is a host of the memory network.
@@ -148,6 +152,9 @@
 	return dir, os.MkdirAll(dir, 0o700)
 }
 
+// SetWall sets what a node's wall clock is ahead.
+func (b *Bubble) SetWall(node int, ahead time.Duration) { b.wall.Store(node, ahead) }
+
 // Start starts a gateway in this process, on a host of its own.
 func (b *Bubble) Start(number int, hcl []byte) (Node, error) {
 	if b.Edit != nil {
@@ -160,7 +167,12 @@
 	b.Seed++
 	host := b.Memory.Host(fmt.Sprint("node-", number))
 	log := slog.New(slog.NewTextHandler(b.Log, &slog.HandlerOptions{Level: cfg.LogLevel})).With("node", number)
-	g, err := gateway.Start(cfg, gateway.Options{Network: host, Log: log, Seed: b.Seed, Deafen: b.Deafen})
+	g, err := gateway.Start(cfg, gateway.Options{Network: host, Log: log, Seed: b.Seed, Deafen: b.Deafen, Stall: b.Stall,
+		Wall: func() time.Time {
+			ahead, _ := b.wall.Load(number)
+			d, _ := ahead.(time.Duration)
+			return time.Now().Add(d)
+		}})
 	if err != nil {
 		return nil, err
 	}
--- a/day/run.go
+++ b/day/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,7 +35,7 @@
 	if o.Progress == nil {
 		o.Progress = func(string) {}
 	}
-	d := &stage{s: s, o: o, begun: time.Now()}
+	d := &stage{s: s, o: o, begun: time.Now(), relays: map[[2]int]*relay{}}
 	defer d.close()
 	if err := d.open(); err != nil {
 		return nil, err
@@ -105,11 +106,13 @@
 	peer      []string
 	proxies   []string
 	configs   [][]byte
-	relays    []*relay
+	relays    map[[2]int]*relay // by sender and receiver
+	fronts    []*proxy.Server   // the proxies, by the node they ask
 
 	mu     sync.Mutex
 	nodes  []Node
 	list   []discovery.Endpoint
+	colds  []*catalogue.Server // those that started cold
 	record audit.Record
 	errs   []error
 }
@@ -231,11 +234,8 @@
 			return err
 		}
 		d.nodes = append(d.nodes, n)
-		p, err := proxy.New(proxy.Options{Network: d.o.Env.Network("proxy"), Gateway: d.extAuthz[i], Patience: 5 * time.Second})
-		if err != nil {
-			return err
-		}
-		if err := d.serve("proxy", d.proxies[i], p.Serve, p.Kill); err != nil {
+		d.fronts = append(d.fronts, nil)
+		if err := d.startProxy(i); err != nil {
 			return err
 		}
 	}
@@ -262,6 +262,21 @@
 	return nil
 }
 
+// startProxy starts the proxy before a node.
+func (d *stage) startProxy(i int) error {
+	p, err := proxy.New(proxy.Options{Network: d.o.Env.Network("proxy"), Gateway: d.extAuthz[i], Patience: 5 * time.Second})
+	if err != nil {
+		return err
+	}
+	if err := d.serve("proxy", d.proxies[i], p.Serve, p.Kill); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fronts[i] = p
+	return nil
+}
+
 // startServer starts the server of a box, cold or long warm.
 func (d *stage) startServer(b *box, cold bool) error {
 	v := d.s.Servers
@@ -290,6 +305,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b.server = server
+	if cold {
+		d.colds = append(d.colds, server)
+	}
 	e := discovery.Endpoint{Name: b.name, Address: b.address, Zone: fmt.Sprint("room-", b.rack), Cell: b.rack}
 	if cold {
 		e.Started = time.Now()
@@ -366,6 +384,53 @@
 		list := d.list
 		d.mu.Unlock()
 		d.discovery.Set(list)
+	case "server-flap":
+		d.mu.Lock()
+		var kept, off []discovery.Endpoint
+		for _, e := range d.list {
+			if e.Name == b.name {
+				off = append(off, e)
+			} else {
+				kept = append(kept, e)
+			}
+		}
+		d.list = kept
+		d.mu.Unlock()
+		d.discovery.Set(kept)
+		sleep(ctx, dur(f.For))
+		d.mu.Lock()
+		d.list = append(slices.Clone(d.list), off...)
+		list := d.list
+		d.mu.Unlock()
+		d.discovery.Set(list)
+	case "node-kill-start":
+		end(d.killTwice(ctx, f))
+	case "proxy-kill":
+		d.mu.Lock()
+		p := d.fronts[f.Target]
+		d.mu.Unlock()
+		from := time.Now()
+		p.Kill()
+		sleep(ctx, dur(f.For))
+		end(d.startProxy(f.Target))
+		d.mu.Lock()
+		d.record.ProxyDown = append(d.record.ProxyDown, audit.Down{Node: f.Target, From: from, To: time.Now()})
+		d.mu.Unlock()
+	case "peers-cut":
+		to, _ := strconv.Atoi(f.Arg)
+		during(func() error { d.relays[[2]int{f.Target, to}].lose(1); return nil },
+			func() error { d.relays[[2]int{f.Target, to}].lose(0); return nil })
+	case "discovery-silent":
+		during(func() error { return d.discovery.Do("silent") }, func() error { return d.discovery.Do("ok") })
+	case "discovery-bad", "discovery-cut":
+		end(d.discovery.Do(strings.TrimPrefix(f.Kind, "discovery-")))
+	case "clock-set":
+		set, ok := d.o.Env.(interface{ SetWall(int, time.Duration) })
+		if !ok {
+			d.say("clock-set: the machine's clock is not ours to set; left out")
+			break
+		}
+		during(func() error { set.SetWall(f.Target, dur(f.Arg)); return nil }, func() error { set.SetWall(f.Target, 0); return nil })
 	case "authoriser-slow", "authoriser-silent":
 		during(func() error { return d.auth.Do(strings.TrimPrefix(f.Kind, "authoriser-"), f.Arg) },
 			func() error { return d.auth.Do("ok", "") })
@@ -384,6 +449,27 @@
 	d.say("%s %d %s is over", f.Kind, f.Target, f.Arg)
 }
 
+// killTwice kills a node, starts it again, and kills it while it starts.
+func (d *stage) killTwice(ctx context.Context, f Fault) error {
+	from := time.Now()
+	d.mu.Lock()
+	n := d.nodes[f.Target]
+	d.mu.Unlock()
+	n.Kill()
+	sleep(ctx, dur(f.For))
+	n, err := d.o.Env.Start(f.Target, d.configs[f.Target])
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.nodes[f.Target] = n
+	d.mu.Unlock()
+	sleep(ctx, dur(f.Arg))
+	err = d.killNode(ctx, f.Target, dur(f.For))
+	d.down(f.Target, from, true)
+	return err
+}
+
 func (d *stage) killNode(ctx context.Context, i int, away time.Duration) error {
 	from := time.Now()
 	d.mu.Lock()
@@ -483,7 +569,7 @@
 		pc.Close()
 		<-done
 	})
-	d.relays = append(d.relays, r)
+	d.relays[[2]int{from, to}] = r
 	return address, nil
 }
 
--- /dev/null
+++ b/day/virtual/defects.go
@@ -0,0 +1,74 @@
+package virtual
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"yardcleat.example/yardcleat/day"
+	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
+	"yardcleat.example/yardcleat/stall"
+)
+
+// defects are builds with a defence taken out, to see whether it would be found.
+var defects = map[string]func(*day.Bubble){
+	// Rule 1.
+	"patience-not-read": edit("clients {", "clients {\n patience_header = \"x-none\""),
+	"stalls-not-seen":   func(b *day.Bubble) { b.Stall = stall.Settings{Beat: time.Second, Least: time.Hour, Most: 1, Keep: 1} },
+	// Rule 2.
+	"keyed-taken-for-safe":  edit(`effect = "keyed"`, `effect = "safe"`),
+	"unsafe-taken-for-safe": edit(`effect = "unsafe"`, `effect = "safe"`),
+	"group-too-wide":        edit(`group = "cell"`, `group = "all"`),
+	"window-too-long": func(b *day.Bubble) {
+		b.Edit = func(cfg []byte) []byte { return windows.ReplaceAll(cfg, []byte(`window = "20s"`)) }
+	},
+	// Rule 3.
+	"drains-not-heard": deafen(func(s *node.Server) { s.State = policy.Running }),
+	// Rule 4.
+	"cold-taken-for-warm": deafen(func(s *node.Server) { s.Started = time.Time{} }),
+	// Rule 5.
+	// (A quota keeps a customer well below its ceiling as long as it holds.)
+	"ceiling-too-high": edit(quotas, "rate = 100\n  burst = 100\n  open = 0\n  hard_rate = 21\n  hard_burst = 36"),
+	"ceiling-unknown":  edit(quotas, "rate = 100\n  burst = 100\n  open = 0"),
+}
+
+const quotas = "rate = 8\n  burst = 16\n  open = 6\n  hard_rate = 14\n  hard_burst = 24"
+
+var windows = regexp.MustCompile(`window = "(2s|500ms)"`)
+
+// Defects lists them.
+func Defects() []string { return slices.Sorted(maps.Keys(defects)) }
+
+func edit(old, new string) func(*day.Bubble) {
+	return func(b *day.Bubble) {
+		b.Edit = func(cfg []byte) []byte { return bytes.ReplaceAll(cfg, []byte(old), []byte(new)) }
+	}
+}
+
+func deafen(change func(*node.Server)) func(*day.Bubble) {
+	return func(b *day.Bubble) {
+		b.Deafen = func(list []node.Server) []node.Server {
+			for i := range list {
+				change(&list[i])
+			}
+			return list
+		}
+	}
+}
+
+func defect(b *day.Bubble, name string) error {
+	if name == "" {
+		return nil
+	}
+	take, ok := defects[name]
+	if !ok {
+		return fmt.Errorf("there is no defect %q; there are %s", name, strings.Join(Defects(), ", "))
+	}
+	take(b)
+	return nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,12 @@
 	// Deafen changes what the module hears of the server list; for tests. nil:
 	// nothing.
 	Deafen func([]node.Server) []node.Server
+	// Wall is the wall clock, as peers and the counter's windows go by it; nil:
+	// the system's.
+	Wall func() time.Time
+	// Stall says what counts as a gap in which the process did not run; zero: the
+	// default.
+	Stall stall.Settings
 }
 
 // Gateway is a running node with all that is around it.
@@ -64,6 +70,9 @@
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g = &Gateway{cfg: cfg, o: o, closes: []func(){cancel}}
 	defer func() {
@@ -72,12 +81,15 @@
 		}
 	}()
 	base := time.Now()
-	clock := pulse.New(base, o.Network, stall.Default())
+	if o.Stall == (stall.Settings{}) {
+		o.Stall = stall.Default()
+	}
+	clock := pulse.New(base, o.Network, o.Stall)
 	g.closes = append(g.closes, clock.Close)
 	g.o.Network = clock.Watched(o.Network)
 	o.Network = g.o.Network
 	opt := node.Options{Settings: cfg.Settings(), Seed: o.Seed, Log: o.Log, Margin: cfg.Limits.AnswerMargin,
-		Most: cfg.Limits.Requests, Base: base, Clock: clock, Tell: func(int, []byte) {}}
+		Most: cfg.Limits.Requests, Base: base, Clock: clock, Stall: o.Stall, Tell: func(int, []byte) {}}
 	pool := upstream.New(upstream.Options{Network: o.Network, ConnectTime: cfg.Limits.ConnectTime, Idle: cfg.Limits.IdleUpstream,
 		Limits:     g.limits(cfg.Limits.AnswerBody),
 		TurnedAway: g.turnedAway(), HTTP2: cfg.Servers.HTTP2, Stood: clock.Stood})
@@ -111,7 +123,7 @@
 	if len(cfg.Peers.Addresses) > 0 {
 		p := cfg.Peers
 		mail, err := peer.Listen(peer.Options{Network: o.Network, Listen: p.Listen, Addresses: p.Addresses, Me: cfg.Number,
-			Keys: peer.NewKeyring(p.Keys, p.KeyFile, o.Log), Incarnation: inc, Freshness: p.Freshness, Rate: p.MailPerSecond, Log: o.Log,
+			Keys: peer.NewKeyring(p.Keys, p.KeyFile, o.Log), Incarnation: inc, Freshness: p.Freshness, Rate: p.MailPerSecond, Log: o.Log, Wall: o.Wall,
 			Deliver: deliver})
 		if err != nil {
 			return g, err
--- a/gateway/tally.go
+++ b/gateway/tally.go
@@ -71,17 +71,17 @@
 		g.o.Log.Warn("the stored totals are left aside", "error", aside)
 	}
 	g.closes = append(g.closes, func() { db.Close() })
-	l.t.Recall(time.Now(), list)
+	l.t.Recall(l.g.o.Wall(), list)
 	return l, db, nil
 }
 
 // Seen and Passed are the node's words, in its loop.
 func (l *ledger) Seen(t *node.Try) {
-	l.carry(l.t.Seen(time.Now(), t.Customer, t.Plan, l.peers[t.Customer]))
+	l.carry(l.t.Seen(l.g.o.Wall(), t.Customer, t.Plan, l.peers[t.Customer]))
 }
 
 func (l *ledger) Passed(t *node.Try) {
-	l.t.Passed(time.Now(), t.Customer, t.Plan, l.peers[t.Customer], t.Units)
+	l.t.Passed(l.g.o.Wall(), t.Customer, t.Plan, l.peers[t.Customer], t.Units)
 }
 
 // run ticks, and saves in groups: it costs requests nothing but the copy.
@@ -98,7 +98,7 @@
 			}
 			return
 		}
-		l.g.node.Do(func() { l.carry(l.t.Tick(time.Now())) })
+		l.g.node.Do(func() { l.carry(l.t.Tick(l.g.o.Wall())) })
 		if db != nil && time.Since(saved) >= saveEvery {
 			saved = time.Now()
 			l.save(ctx, db)
@@ -108,7 +108,7 @@
 
 func (l *ledger) save(ctx context.Context, db *store.Store) {
 	lists := make(chan []tally.Register, 1)
-	l.g.node.Do(func() { lists <- l.t.Own(time.Now()) })
+	l.g.node.Do(func() { lists <- l.t.Own(l.g.o.Wall()) })
 	select {
 	case list := <-lists:
 		slices.SortFunc(list, func(a, b tally.Register) int {
@@ -133,7 +133,7 @@
 		switch a := a.(type) {
 		case tally.Call:
 			l.client.Do(a, func(ans tally.Answer) {
-				l.g.node.Do(func() { l.carry(l.t.Answered(time.Now(), a.ID, ans)) })
+				l.g.node.Do(func() { l.carry(l.t.Answered(l.g.o.Wall(), a.ID, ans)) })
 			})
 		case tally.Tell:
 			l.tell(a.To, l.encode(a.Registers))
@@ -178,7 +178,7 @@
 				Owner: owner, Units: tally.Milli(units)})
 		}
 	}
-	l.g.node.Do(func() { l.t.Heard(time.Now(), from, list) })
+	l.g.node.Do(func() { l.t.Heard(l.g.o.Wall(), from, list) })
 	return true
 }
 
--- /dev/null
+++ b/lab/hunt/draw.go
@@ -0,0 +1,319 @@
+// Package hunt searches for days of trouble that break a rule. It draws days from
+// a grammar of faults, is led by what days reached, and shrinks a day that breaks
+// a rule to the least that still does. It has no I/O: whoever plays the days tells
+// what came of them.
+package hunt
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"yardcleat.example/yardcleat/day"
+)
+
+// Day is a day to play.
+type Day struct {
+	Script   *day.Script
+	Seed     uint64 // of the network's and the nodes' chance
+	NoStamps bool   // the kernel does not say when bytes came in
+}
+
+// Limits bounds what is drawn.
+type Limits struct {
+	Nodes  [2]int // from and to
+	Faults [2]int
+	Length [2]time.Duration
+	Kinds  []string // of faults; nil: all
+}
+
+// DefaultLimits draws fleets of 2 to 12 nodes with 3 to 14 faults.
+func DefaultLimits() Limits {
+	return Limits{Nodes: [2]int{2, 12}, Faults: [2]int{3, 14}, Length: [2]time.Duration{10 * time.Second, 20 * time.Second}}
+}
+
+// shape is how faults of a kind are drawn.
+type shape struct {
+	kind     string
+	weight   float64
+	from, to time.Duration // how long it lasts
+	arg      func(g *drawer, s *day.Script) string
+}
+
+func numbers(list ...string) func(*drawer, *day.Script) string {
+	return func(g *drawer, _ *day.Script) string { return list[g.rng.IntN(len(list))] }
+}
+
+func between(from, to time.Duration) func(*drawer, *day.Script) string {
+	return func(g *drawer, _ *day.Script) string { return g.span(from, to).String() }
+}
+
+// grammar is what days are drawn from. The weights favour what holds state up.
+var grammar = []shape{
+	{"node-kill", 3, 100 * time.Millisecond, 3 * time.Second, nil},
+	{"node-kill-start", 1, 100 * time.Millisecond, time.Second, between(time.Millisecond, 300*time.Millisecond)},
+	{"node-stop", 5, 100 * time.Millisecond, 8 * time.Second, nil},
+	{"server-drain", 3, 100 * time.Millisecond, 3 * time.Second, nil},
+	{"server-vanish", 2, 100 * time.Millisecond, 3 * time.Second, nil},
+	{"server-return", 4, 0, 0, nil},
+	{"server-hang", 2, 500 * time.Millisecond, 6 * time.Second, nil},
+	{"server-half-close", 1, 500 * time.Millisecond, 3 * time.Second, nil},
+	{"server-reset", 1, 200 * time.Millisecond, 3 * time.Second, nil},
+	{"server-twice", 1, 200 * time.Millisecond, 3 * time.Second, nil},
+	{"server-fail", 1, 500 * time.Millisecond, 5 * time.Second, func(g *drawer, s *day.Script) string {
+		return s.Classes[g.rng.IntN(len(s.Classes))].Name
+	}},
+	{"server-slow", 2, 500 * time.Millisecond, 6 * time.Second, numbers("2", "4", "10", "40")},
+	{"server-flap", 2, 50 * time.Millisecond, 2 * time.Second, nil},
+	{"peers-lose", 2, 500 * time.Millisecond, 8 * time.Second, numbers("0.1", "0.4", "0.8", "1")},
+	{"peers-cut", 2, 500 * time.Millisecond, 8 * time.Second, func(g *drawer, s *day.Script) string {
+		return strconv.Itoa(g.rng.IntN(s.Nodes))
+	}},
+	{"proxy-kill", 1, 100 * time.Millisecond, 2 * time.Second, nil},
+	{"discovery-silent", 1, 500 * time.Millisecond, 4 * time.Second, nil},
+	{"discovery-bad", 1, 0, 0, nil},
+	{"discovery-cut", 1, 0, 0, nil},
+	{"clock-set", 1, 200 * time.Millisecond, 8 * time.Second, numbers("1h", "-1h", "30s", "-30s", "2s", "-2s")},
+	{"authoriser-slow", 2, 500 * time.Millisecond, 5 * time.Second, numbers("50ms", "120ms", "190ms", "1s")},
+	{"authoriser-silent", 1, 500 * time.Millisecond, 5 * time.Second, nil},
+	{"counter-silent", 1, 500 * time.Millisecond, 6 * time.Second, nil},
+	{"counter-refuse", 1, 500 * time.Millisecond, 6 * time.Second, nil},
+	{"counter-lose", 1, 500 * time.Millisecond, 6 * time.Second, nil},
+	{"counter-slow", 1, 500 * time.Millisecond, 6 * time.Second, numbers("50ms", "300ms", "2s")},
+	{"counter-empty", 1, 0, 0, nil},
+	{"counter-save", 1, 0, 0, nil},
+	{"counter-restore", 1, 0, 0, nil},
+	{"counter-split", 1, 0, 0, nil},
+	{"counter-heal", 1, 0, 0, numbers("first", "second", "both")},
+}
+
+// Kinds lists the kinds of fault that are drawn.
+func Kinds() (out []string) {
+	for _, s := range grammar {
+		out = append(out, s.kind)
+	}
+	return out
+}
+
+type drawer struct {
+	rng  *rand.Rand
+	base *day.Script
+	lim  Limits
+}
+
+// span draws a duration, as often near the lower end as near the upper by ratio.
+func (g *drawer) span(from, to time.Duration) time.Duration {
+	if to <= from {
+		return from
+	}
+	d := float64(from) * math.Pow(float64(to)/float64(from), g.rng.Float64())
+	return time.Duration(d).Round(10 * time.Millisecond)
+}
+
+func (g *drawer) within(r [2]int) int { return r[0] + g.rng.IntN(r[1]-r[0]+1) }
+
+// clone copies a script as far as days differ.
+func clone(s *day.Script) *day.Script {
+	c := *s
+	c.Customers, c.Faults, c.Classes = slices.Clone(s.Customers), slices.Clone(s.Faults), slices.Clone(s.Classes)
+	return &c
+}
+
+// day draws a whole day.
+func (g *drawer) day() Day {
+	s := clone(g.base)
+	s.Extends, s.Faults = "", nil
+	s.Seed = 1 + g.rng.IntN(1<<20)
+	s.Length = time.Duration(g.span(g.lim.Length[0], g.lim.Length[1])).Round(time.Second).String()
+	// Small fleets are cheap to play, and most faults show there.
+	s.Nodes = g.lim.Nodes[0]
+	for s.Nodes < g.lim.Nodes[1] && g.rng.Float64() < 0.6 {
+		s.Nodes++
+	}
+	g.mix(s)
+	for n := g.within(g.lim.Faults); n > 0; n-- {
+		g.add(s)
+	}
+	return Day{Script: s, Seed: 1 + g.rng.Uint64N(1<<32), NoStamps: g.rng.IntN(4) == 0}
+}
+
+// mix draws who asks for what, by which front.
+func (g *drawer) mix(s *day.Script) {
+	s.Servers.Count = 4 + g.rng.IntN(7)
+	switch g.rng.IntN(4) {
+	case 0:
+		s.Clients.Proxied, s.Clients.HTTP2 = 0.8, 0.1
+	case 1:
+		s.Clients.Proxied, s.Clients.HTTP2 = 0.1, 0.8
+	case 2:
+		s.Clients.Proxied, s.Clients.HTTP2 = 0.1, 0.1
+	}
+	s.Servers.Cores, s.Servers.Queue, s.Servers.ColdShare, s.Servers.Late = g.base.Servers.Cores, g.base.Servers.Queue,
+		g.base.Servers.ColdShare, g.base.Servers.Late
+	if g.rng.IntN(4) == 0 {
+		// Few servers, all busy, and starting very cold.
+		s.Servers.Count, s.Servers.Cores, s.Servers.Queue, s.Servers.ColdShare, s.Servers.Late = 3, 4, 40, 0.05, "50ms"
+	}
+	for i := range s.Classes {
+		if s.Classes[i].Window != "" {
+			s.Classes[i].Window = []string{"2s", "2s", "500ms"}[g.rng.IntN(3)]
+		}
+	}
+	load := []float64{0.4, 1, 1, 1.6}[g.rng.IntN(4)]
+	for i := range s.Customers {
+		s.Customers[i].Use = math.Round(s.Customers[i].Use*load*100) / 100
+	}
+	s.Clients.Retries = g.rng.IntN(4)
+}
+
+// fault draws one; one time in three it comes close upon another, which is where
+// states meet.
+func (g *drawer) fault(s *day.Script) day.Fault {
+	var all float64
+	var shapes []shape
+	for _, sh := range grammar {
+		if g.lim.Kinds == nil || slices.Contains(g.lim.Kinds, sh.kind) {
+			shapes = append(shapes, sh)
+			all += sh.weight
+		}
+	}
+	at := g.rng.Float64() * all
+	sh := shapes[len(shapes)-1]
+	for _, one := range shapes {
+		if at -= one.weight; at < 0 {
+			sh = one
+			break
+		}
+	}
+	length, _ := time.ParseDuration(s.Length)
+	f := day.Fault{Kind: sh.kind}
+	f.At = g.time(time.Duration((0.03 + 0.85*g.rng.Float64()) * float64(length)))
+	if len(s.Faults) > 0 && g.rng.IntN(3) == 0 {
+		o := s.Faults[g.rng.IntN(len(s.Faults))]
+		near, _ := time.ParseDuration(o.At)
+		last, _ := time.ParseDuration(o.For)
+		if g.rng.IntN(2) == 0 {
+			near += last
+		}
+		f.At = g.time(near + time.Duration(g.rng.Int64N(int64(300*time.Millisecond))) - 100*time.Millisecond)
+		f.Target = o.Target
+	}
+	if sh.kind == "server-return" && g.rng.IntN(8) > 0 {
+		g.comeBack(s, &f)
+		return f
+	}
+	if sh.from > 0 {
+		f.For = g.span(sh.from, sh.to).String()
+	}
+	if f.Target == 0 || g.rng.IntN(2) == 0 {
+		n := max(s.Nodes, s.Servers.Count)
+		switch day.TargetOf(sh.kind) {
+		case "node":
+			n = s.Nodes
+		case "server":
+			n = s.Servers.Count
+		case "part":
+			n = s.Counter.Parts
+		case "":
+			n = 1
+		}
+		f.Target = g.rng.IntN(n)
+	}
+	if sh.arg != nil {
+		f.Arg = sh.arg(g, s)
+	}
+	return f
+}
+
+// comeBack aims a return at a server that an earlier fault took away.
+func (g *drawer) comeBack(s *day.Script, f *day.Fault) {
+	var gone []day.Fault
+	for _, o := range s.Faults {
+		if o.Kind == "server-drain" || o.Kind == "server-vanish" {
+			gone = append(gone, o)
+		}
+	}
+	if len(gone) == 0 {
+		return // it will not do, and another is drawn
+	}
+	o := gone[g.rng.IntN(len(gone))]
+	at, _ := time.ParseDuration(o.At)
+	last, _ := time.ParseDuration(o.For)
+	f.Target, f.At = o.Target, g.time(at+last+g.span(50*time.Millisecond, 4*time.Second))
+}
+
+func (g *drawer) time(d time.Duration) string {
+	return max(0, d).Round(10 * time.Millisecond).String()
+}
+
+// add adds a fault that can happen among the others; it may find none.
+func (g *drawer) add(s *day.Script) bool {
+	for range 8 {
+		s.Faults = append(s.Faults, g.fault(s))
+		if s.Check() == nil {
+			return true
+		}
+		s.Faults = s.Faults[:len(s.Faults)-1]
+	}
+	return false
+}
+
+// mutate changes a day a little.
+func (g *drawer) mutate(d Day) Day {
+	for range 20 {
+		m := d
+		m.Script = clone(d.Script)
+		s := m.Script
+		for range 1 + g.rng.IntN(3) {
+			g.change(&m, s)
+		}
+		if s.Check() == nil {
+			return m
+		}
+	}
+	return g.day()
+}
+
+func (g *drawer) change(m *Day, s *day.Script) {
+	i := 0
+	if len(s.Faults) > 0 {
+		i = g.rng.IntN(len(s.Faults))
+	}
+	switch what := g.rng.IntN(8); {
+	case what == 0:
+		m.Seed = 1 + g.rng.Uint64N(1<<32)
+	case what == 1:
+		g.mix(s)
+	case what == 2 && s.Nodes < g.lim.Nodes[1]:
+		s.Nodes++
+	case len(s.Faults) == 0 || what <= 3 && len(s.Faults) < g.lim.Faults[1]:
+		g.add(s)
+	case what == 4 && len(s.Faults) > 1:
+		s.Faults = slices.Delete(s.Faults, i, i+1)
+	case what == 5:
+		f := &s.Faults[i]
+		at, _ := time.ParseDuration(f.At)
+		f.At = g.time(at + time.Duration((g.rng.Float64()-0.5)*float64(2*time.Second)))
+	case what == 6 && s.Faults[i].For != "":
+		f := &s.Faults[i]
+		last, _ := time.ParseDuration(f.For)
+		f.For = g.time(time.Duration(float64(last) * (0.5 + 1.5*g.rng.Float64())))
+	default:
+		s.Faults[i] = g.fault(s)
+	}
+}
+
+// Words is a line that names a day's faults.
+func (d Day) Words() string {
+	out := fmt.Sprintf("%d nodes, %s:", d.Script.Nodes, d.Script.Length)
+	for _, f := range d.Script.Faults {
+		out += fmt.Sprintf(" %s@%s", f.Kind, f.At)
+		if f.For != "" {
+			out += "+" + f.For
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lab/hunt/shrink.go
@@ -0,0 +1,103 @@
+package hunt
+
+import (
+	"fmt"
+	"time"
+
+	"yardcleat.example/yardcleat/day"
+)
+
+// Shrinker makes a day that breaks a rule smaller as long as it still does. Ask
+// Next for a day, play it, and Tell whether it broke the rule, until Next has no
+// more.
+type Shrinker struct {
+	best  Day
+	tried map[string]bool
+	plays int
+	most  int
+	cand  Day
+}
+
+// NewShrinker starts from a day; most bounds the plays.
+func NewShrinker(d Day, most int) *Shrinker {
+	return &Shrinker{best: d, tried: map[string]bool{}, most: most}
+}
+
+// Best is the smallest day so far.
+func (s *Shrinker) Best() Day { return s.best }
+
+// changes lists smaller days, the boldest first: half of the faults gone, one gone,
+// a smaller fleet, a shorter day, shorter faults.
+func (s *Shrinker) changes() (out []Day) {
+	d := s.best
+	n := len(d.Script.Faults)
+	all := func(keep func(int) bool) []int {
+		var list []int
+		for i := range n {
+			if keep(i) {
+				list = append(list, i)
+			}
+		}
+		return list
+	}
+	for parts := 2; parts < n; parts *= 2 {
+		for p := range parts {
+			out = append(out, d.Only(all(func(i int) bool { return i*parts/n != p })...))
+		}
+	}
+	for i := range n {
+		out = append(out, d.Only(all(func(k int) bool { return k != i })...))
+	}
+	change := func(f func(*day.Script)) {
+		c := d
+		c.Script = clone(d.Script)
+		f(c.Script)
+		out = append(out, c)
+	}
+	if d.Script.Nodes > 2 {
+		change(func(s *day.Script) { s.Nodes = max(2, s.Nodes/2) })
+		change(func(s *day.Script) { s.Nodes-- })
+	}
+	length, _ := time.ParseDuration(d.Script.Length)
+	var last time.Duration
+	for _, f := range d.Script.Faults {
+		at, _ := time.ParseDuration(f.At)
+		span, _ := time.ParseDuration(f.For)
+		last = max(last, at+span)
+	}
+	if short := (last + 2*time.Second).Round(time.Second); short < length {
+		change(func(s *day.Script) { s.Length = short.String() })
+	}
+	for i, f := range d.Script.Faults {
+		if span, _ := time.ParseDuration(f.For); span >= 200*time.Millisecond {
+			change(func(s *day.Script) { s.Faults[i].For = (span / 2).Round(10 * time.Millisecond).String() })
+		}
+	}
+	return out
+}
+
+// Next is a smaller day to try; false where there is none left, or the plays are
+// used up.
+func (s *Shrinker) Next() (Day, bool) {
+	for _, c := range s.changes() {
+		if s.plays >= s.most {
+			break
+		}
+		key := fmt.Sprint(c.Words(), c.Script.Nodes, c.Script.Faults)
+		if s.tried[key] || c.Script.Check() != nil {
+			continue
+		}
+		s.tried[key] = true
+		s.plays++
+		s.cand = c
+		return c, true
+	}
+	return Day{}, false
+}
+
+// Tell says whether the day that Next gave still broke the rule.
+func (s *Shrinker) Tell(broke bool) {
+	if broke {
+		s.best = s.cand
+	}
+}
--- a/peer/mail.go
+++ b/peer/mail.go
@@ -29,6 +29,7 @@
 	Freshness   time.Duration
 	Rate        float64 // messages a second taken in
 	Log         *slog.Logger
+	Wall        func() time.Time // the wall clock; nil: the system's
 	Deliver     func(from int, data []byte)
 }
 
@@ -64,6 +65,9 @@
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	m.pc = pc
+	if m.o.Wall == nil {
+		m.o.Wall = time.Now
+	}
 	m.ended.Go(m.send)
 	m.ended.Go(m.receive)
 	return m, nil
@@ -92,7 +96,7 @@
 			if addr := m.to[l.to]; addr != nil && len(l.data) <= MaxPayload {
 				seq++
 				m.pc.WriteTo(Seal(m.o.Keys.Keys()[0], Header{From: uint16(m.o.Me), To: uint16(l.to), Incarnation: m.o.Incarnation,
-					Seq: seq, Sent: time.Now()}, l.data), addr)
+					Seq: seq, Sent: m.o.Wall()}, l.data), addr)
 			}
 		case <-m.done:
 			return
@@ -113,7 +117,7 @@
 			continue // ICMP errors of earlier sends, on some systems
 		}
 		h, payload, ok := m.o.Keys.open(b[:n])
-		now, word := time.Now(), Foreign
+		now, word := m.o.Wall(), Foreign
 		if ok {
 			word = g.Judge(now, h)
 		}
--- a/standin/discovery/discovery.go
+++ b/standin/discovery/discovery.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"fmt"
 	"net"
 	"slices"
 	"strconv"
@@ -47,12 +48,15 @@
 	list    []Endpoint
 	changed chan struct{} // closed at a change
 	nacks   []string
+	silent  bool          // changes are held back
+	bad     bool          // a list that can't be meant goes before each
+	cut     chan struct{} // closed when streams are to end
 }
 
 // New returns a server for one cluster. Changes reach the nodes late; told
 // is called with what each node was told.
 func New(cluster string, late time.Duration, told func(audit.Told)) *Server {
-	s := &Server{gs: grpc.NewServer(), cluster: cluster, late: late, told: told, changed: make(chan struct{})}
+	s := &Server{gs: grpc.NewServer(), cluster: cluster, late: late, told: told, changed: make(chan struct{}), cut: make(chan struct{})}
 	edsv3.RegisterEndpointDiscoveryServiceServer(s.gs, s)
 	return s
 }
@@ -80,10 +84,50 @@
 	return slices.Clone(s.nacks)
 }
 
-func (s *Server) state() (int, []Endpoint, chan struct{}) {
+// Do sets a fault: silent (changes are held back until ok), bad (from then on a
+// list that can't be meant goes before each), cut (all streams end), or ok.
+func (s *Server) Do(fault string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.version, s.list, s.changed
+	switch fault {
+	case "ok", "silent":
+		s.silent = fault == "silent"
+	case "bad":
+		s.bad = true
+	case "cut":
+		close(s.cut)
+		s.cut = make(chan struct{})
+	default:
+		return fmt.Errorf("fault %q: one of ok, silent, bad, cut is needed", fault)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+func (s *Server) state() (version int, list []Endpoint, changed, cut chan struct{}, bad bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.list, s.changed, s.cut, s.bad
+}
+
+// heard waits until changes are not held back; false where the stream ended.
+func (s *Server) heard(gone, cut chan struct{}) bool {
+	for {
+		s.mu.Lock()
+		silent, changed := s.silent, s.changed
+		s.mu.Unlock()
+		if !silent {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-gone:
+			return false
+		case <-cut:
+			return false
+		}
+	}
 }
 
 // StreamEndpoints sends the list, and again when it has changed.
@@ -110,7 +154,20 @@
 	}()
 	var last []Endpoint
 	for {
-		version, list, changed := s.state()
+		if _, _, _, cut, _ := s.state(); !s.heard(gone, cut) {
+			return nil
+		}
+		version, list, changed, cut, bad := s.state()
+		if bad {
+			// An endpoint without a port. What a node refuses tells it nothing.
+			resp, err := s.response(version, []Endpoint{{Name: "nowhere", Address: "127.0.0.1:0"}})
+			if err != nil {
+				return err
+			}
+			if err := stream.Send(resp); err != nil {
+				return err
+			}
+		}
 		resp, err := s.response(version, list)
 		if err != nil {
 			return err
@@ -126,11 +183,15 @@
 		case <-changed:
 		case <-gone:
 			return nil
+		case <-cut:
+			return nil
 		}
 		select {
 		case <-time.After(s.late):
 		case <-gone:
 			return nil
+		case <-cut:
+			return nil
 		}
 	}
 }
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -50,6 +50,7 @@
 	logs chan *datav3.HTTPAccessLogEntry
 	done chan struct{}
 	wait sync.WaitGroup
+	once sync.Once
 }
 
 // New returns a proxy before a gateway.
@@ -73,7 +74,9 @@
 func (s *Server) Serve(l net.Listener) error { return s.hs.Serve(l) }
 
 // Kill ends the proxy and its connections at once.
-func (s *Server) Kill() {
+func (s *Server) Kill() { s.once.Do(s.kill) }
+
+func (s *Server) kill() {
 	s.hs.Close()
 	close(s.done)
 	s.wait.Wait()
