HTTP/2's allowance covers every frame; fields that must come once

Need: empty CONTINUATION frames or WINDOW_UPDATEs of 1 took a core for as long as they came; RST_STREAM and WINDOW_UPDATE on idle streams passed; padding longer than a HEADERS frame ended its stream alone and left the header table out of step. Of two keys that differ the first won.

A meter below the framer bounds CONTINUATIONs of a block and sees padding; each frame that brings nothing draws on the allowance, WINDOW_UPDATE against bytes sent; blocks have a time. Chunk extensions are bounded by the chunks. Differing values of key, idempotency key, id, count and patience are a bad request on all fronts.

--- a/front/fronts_test.go
+++ b/front/fronts_test.go
@@ -180,7 +180,10 @@
 	}
 	req.Header.Set("User-Agent", "test")
 	for k, v := range a.header {
-		req.Header.Set(k, v)
+		req.Header.Del(k)
+		for one := range strings.SplitSeq(v, "|") { // several fields of one name
+			req.Header.Add(k, one)
+		}
 	}
 	res, err := client.Do(req)
 	if err != nil {
@@ -203,7 +206,7 @@
 func (f *fronts) check(a ask) *authv3.CheckResponse {
 	headers := map[string]string{":method": a.method}
 	for k, v := range a.header {
-		headers[strings.ToLower(k)] = v
+		headers[strings.ToLower(k)] = strings.ReplaceAll(v, "|", ",") // as a proxy joins them
 	}
 	resp, err := f.auth.Check(context.Background(), &authv3.CheckRequest{Attributes: &authv3.AttributeContext{
 		Request: &authv3.AttributeContext_Request{Http: &authv3.AttributeContext_HttpRequest{Method: a.method, Path: a.path,
@@ -278,6 +281,8 @@
 		{"no key", with(good, "POST", "/loans/1"), served, 400, "bad-request", ""},
 		{"dot segment", with(good, "GET", "/records/%2e."), served, 400, "bad-request", ""},
 		{"malformed patience", with(good, "GET", "/records/1", "X-Envoy-Expected-Rq-Timeout-Ms", "-1"), served, 400, "bad-request", ""},
+		{"two keys that differ", with(good, "GET", "/records/1", "X-Api-Key", "k|other"), served, 400, "bad-request", ""},
+		{"two patiences that differ", with(good, "GET", "/records/1", "X-Envoy-Expected-Rq-Timeout-Ms", "100|2000"), served, 400, "bad-request", ""},
 		{"malformed count", with(good, "GET", "/records/1", "X-Envoy-Attempt-Count", "x"), served, 400, "bad-request", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -43,7 +43,7 @@
 	Body        int64         // bytes of a request's body
 	Held        int64         // bytes of bodies held for one connection
 	Streams     int           // open at once on one connection
-	Abuse       int           // resets, pings, settings and empty frames: so many at once, a tenth of it a second
+	Abuse       int           // frames that bring nothing: so many at once, a tenth of it a second; see docs/frames.md
 	HeaderTime  time.Duration // for the preface
 	BodyTime    time.Duration // from a stream's header to its whole body
 	IdleTime    time.Duration // a connection without a stream is closed after it
@@ -115,6 +115,11 @@
 const (
 	initialWindow = 65535 // before settings; RFC 9113, 6.9.2
 	streamWindow  = 64 << 10
+
+	continuations = 16  // frames of one header block after its first
+	smallData     = 256 // bytes of a DATA frame below which it costs a part of the allowance
+	smallCost     = 0.125
+	windowFor     = 256 // bytes sent that pay for one WINDOW_UPDATE
 )
 
 type conn struct {
@@ -137,6 +142,7 @@
 	peerFrame  int   // bytes in one frame
 	held       int64 // bytes of bodies held
 	owed       int64 // of the connection's window, to be given back
+	sent       int64 // bytes of bodies sent that no WINDOW_UPDATE has drawn on
 	abuse      float64
 	abuseAt    time.Time
 }
@@ -163,7 +169,7 @@
 	if _, err := io.ReadFull(c.nc, preface); err != nil || string(preface) != http2.ClientPreface {
 		return
 	}
-	c.fr = http2.NewFramer(c.nc, c.nc)
+	c.fr = http2.NewFramer(c.nc, &meter{r: c.nc, most: continuations, block: c.blockTime})
 	c.fr.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
 	c.fr.MaxHeaderListSize = uint32(o.HeaderBytes)
 	c.fr.SetMaxReadFrameSize(h2.Frame)
@@ -188,6 +194,9 @@
 			}
 		}
 	}
+	if errors.Is(err, http2.ErrFrameTooLarge) {
+		err = http2.ConnectionError(http2.ErrCodeFrameSize)
+	}
 	var ce http2.ConnectionError
 	if errors.As(err, &ce) {
 		c.goAway(http2.ErrCode(ce), "")
@@ -248,17 +257,39 @@
 
 // misuse counts what costs a client nothing and the server something: a little
 // of it is normal, a flood ends the connection.
-func (c *conn) misuse() error {
+func (c *conn) misuse() error { return c.costs(1) }
+
+// costs takes a part of the allowance.
+func (c *conn) costs(much float64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draw(much)
+}
+
+// blockTime bounds the time of a header block that is more than one frame.
+func (c *conn) blockTime(begins bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch {
+	case begins:
+		c.nc.SetReadDeadline(time.Now().Add(c.s.o.HeaderTime))
+	case len(c.streams) > 0:
+		c.nc.SetReadDeadline(time.Time{})
+	default:
+		c.nc.SetReadDeadline(time.Now().Add(c.s.o.IdleTime))
+	}
+}
+
+// draw is costs under c.mu.
+func (c *conn) draw(much float64) error {
 	most := float64(c.s.o.Abuse)
 	now := time.Now()
 	c.abuse = min(most, c.abuse+most/10*now.Sub(c.abuseAt).Seconds())
 	c.abuseAt = now
-	if c.abuse < 1 {
+	if c.abuse < much {
 		return http2.ConnectionError(http2.ErrCodeEnhanceYourCalm)
 	}
-	c.abuse--
+	c.abuse -= much
 	return nil
 }
 
@@ -271,31 +302,28 @@
 	case *http2.WindowUpdateFrame:
 		return c.windowUpdate(f)
 	case *http2.RSTStreamFrame:
+		if c.idle(f.StreamID) {
+			return http2.ConnectionError(http2.ErrCodeProtocol) // RFC 9113, 6.4
+		}
 		c.end(f.StreamID)
 		return c.misuse()
 	case *http2.SettingsFrame:
 		return c.settings(f)
 	case *http2.PingFrame:
-		if f.IsAck() {
-			return nil
-		}
-		if err := c.misuse(); err != nil {
-			return err
+		if err := c.misuse(); err != nil || f.IsAck() {
+			return err // none was asked for
 		}
 		return c.write(func() error { return c.fr.WritePing(true, f.Data) })
 	case *http2.PushPromiseFrame:
 		return http2.ConnectionError(http2.ErrCodeProtocol)
 	case *http2.GoAwayFrame:
-		return nil // the client opens no more; what is open is answered
+		return c.misuse() // the client opens no more; what is open is answered
 	}
 	return c.misuse() // priorities and unknown frames
 }
 
 func (c *conn) settings(f *http2.SettingsFrame) error {
-	if f.IsAck() {
-		return nil
-	}
-	if err := c.misuse(); err != nil {
+	if err := c.misuse(); err != nil || f.IsAck() {
 		return err
 	}
 	err := f.ForeachSetting(func(s http2.Setting) error {
@@ -334,6 +362,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.cond.Broadcast()
+	if f.StreamID > c.last || f.StreamID != 0 && f.StreamID%2 == 0 {
+		return http2.ConnectionError(http2.ErrCodeProtocol) // idle; RFC 9113, 5.1
+	}
+	// One follows from what was sent; others cost.
+	if c.sent >= windowFor {
+		c.sent -= windowFor
+	} else if err := c.draw(1); err != nil {
+		return err
+	}
 	if f.StreamID == 0 {
 		if c.sendWindow += int64(f.Increment); c.sendWindow > 1<<31-1 {
 			return http2.ConnectionError(http2.ErrCodeFlowControl)
@@ -348,6 +385,13 @@
 	return nil
 }
 
+// idle tells whether no stream of a number was ever opened.
+func (c *conn) idle(id uint32) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return id > c.last || id%2 == 0
+}
+
 // headers opens a stream.
 func (c *conn) headers(f *http2.MetaHeadersFrame) error {
 	id := f.StreamID
@@ -499,14 +543,16 @@
 	c.mu.Lock()
 	c.owed += n
 	st := c.streams[f.StreamID]
-	idle := f.StreamID > c.last
 	c.mu.Unlock()
-	if idle {
+	if c.idle(f.StreamID) {
 		return http2.ConnectionError(http2.ErrCodeProtocol)
 	}
 	data := f.Data()
-	if len(data) == 0 && !f.StreamEnded() {
-		if err := c.misuse(); err != nil {
+	if cost := 1.0; len(data) < smallData && !f.StreamEnded() {
+		if len(data) > 0 {
+			cost = smallCost
+		}
+		if err := c.costs(cost); err != nil {
 			return err
 		}
 	}
@@ -734,6 +780,7 @@
 		}
 		n := int(min(int64(len(body)), st.send, c.sendWindow, int64(c.peerFrame)))
 		st.send, c.sendWindow = st.send-int64(n), c.sendWindow-int64(n)
+		c.sent += int64(n)
 		c.mu.Unlock()
 		part := body[:n]
 		body = body[n:]
--- /dev/null
+++ b/gateway/frames_test.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+)
+
+// frame makes one, whatever the framer would say of it.
+func frame(kind http2.FrameType, flags http2.Flags, stream uint32, payload ...byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(payload))<<8|uint32(kind))
+	return append(binary.BigEndian.AppendUint32(append(b, byte(flags)), stream), payload...)
+}
+
+// Each frame of RFC 9113 that a client may send for nothing, many times over or
+// where it can't be meant: the connection ends with the right error, soon, and
+// others are served meanwhile. docs/frames.md has the table.
+func TestFrames(t *testing.T) {
+	open := func(c *rawH2) { c.request(1, false, "POST", "/notes/1") } // its body is awaited
+	many := func(b []byte) []byte { return bytes.Repeat(b, 400) }
+	for _, f := range []struct {
+		name  string
+		first func(c *rawH2)
+		send  []byte
+		want  http2.ErrCode
+	}{
+		{"DATA, empty", open, many(frame(http2.FrameData, 0, 1)), http2.ErrCodeEnhanceYourCalm},
+		{"DATA of a byte", open, many(frame(http2.FrameData, 0, 1, 'x')), http2.ErrCodeEnhanceYourCalm},
+		{"DATA, all padding", open, many(frame(http2.FrameData, http2.FlagDataPadded, 1, 3, 0, 0, 0)), http2.ErrCodeEnhanceYourCalm},
+		{"DATA, padding longer than the frame", open, frame(http2.FrameData, http2.FlagDataPadded, 1, 9, 0), http2.ErrCodeProtocol},
+		{"DATA, idle stream", open, frame(http2.FrameData, 0, 7, 'x'), http2.ErrCodeProtocol},
+		{"HEADERS, padding longer than the frame", open,
+			frame(http2.FrameHeaders, http2.FlagHeadersPadded|http2.FlagHeadersEndHeaders, 3, 9, 0), http2.ErrCodeProtocol},
+		{"HEADERS, padding over its priority", open, frame(http2.FrameHeaders,
+			http2.FlagHeadersPadded|http2.FlagHeadersPriority|http2.FlagHeadersEndHeaders, 3, 1, 0, 0, 0, 0, 0), http2.ErrCodeProtocol},
+		{"HEADERS, padded but empty", open, frame(http2.FrameHeaders, http2.FlagHeadersPadded|http2.FlagHeadersEndHeaders, 3), http2.ErrCodeProtocol},
+		{"HEADERS, even stream", open, frame(http2.FrameHeaders, http2.FlagHeadersEndHeaders, 2, 0x82), http2.ErrCodeProtocol},
+		{"HEADERS, malformed, many", open, func() (b []byte) {
+			for id := uint32(3); id < 803; id += 2 {
+				b = append(b, frame(http2.FrameHeaders, http2.FlagHeadersEndHeaders|http2.FlagHeadersEndStream, id, 0x82)...)
+			}
+			return b
+		}(), http2.ErrCodeEnhanceYourCalm},
+		{"CONTINUATION without HEADERS", open, frame(http2.FrameContinuation, 0, 1), http2.ErrCodeProtocol},
+		{"CONTINUATION, empty, many", open, append(frame(http2.FrameHeaders, 0, 3, 0x82), many(frame(http2.FrameContinuation, 0, 3))...),
+			http2.ErrCodeEnhanceYourCalm},
+		{"PRIORITY, many", open, many(frame(http2.FramePriority, 0, 1, 0, 0, 0, 0, 9)), http2.ErrCodeEnhanceYourCalm},
+		{"RST_STREAM, idle stream", open, frame(http2.FrameRSTStream, 0, 9, 0, 0, 0, 8), http2.ErrCodeProtocol},
+		{"RST_STREAM, of a stream that is over", open, many(frame(http2.FrameRSTStream, 0, 1, 0, 0, 0, 8)), http2.ErrCodeEnhanceYourCalm},
+		{"SETTINGS, many", open, many(frame(http2.FrameSettings, 0, 0)), http2.ErrCodeEnhanceYourCalm},
+		{"SETTINGS acknowledged, many", open, many(frame(http2.FrameSettings, http2.FlagSettingsAck, 0)), http2.ErrCodeEnhanceYourCalm},
+		{"PUSH_PROMISE", open, frame(http2.FramePushPromise, http2.FlagPushPromiseEndHeaders, 1, 0, 0, 0, 2), http2.ErrCodeProtocol},
+		{"PING, many", open, many(frame(http2.FramePing, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8)), http2.ErrCodeEnhanceYourCalm},
+		{"PING acknowledged, many", open, many(frame(http2.FramePing, http2.FlagPingAck, 0, 1, 2, 3, 4, 5, 6, 7, 8)), http2.ErrCodeEnhanceYourCalm},
+		{"GOAWAY, many", open, many(frame(http2.FrameGoAway, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0)), http2.ErrCodeEnhanceYourCalm},
+		{"WINDOW_UPDATE of 1, many", open, many(frame(http2.FrameWindowUpdate, 0, 1, 0, 0, 0, 1)), http2.ErrCodeEnhanceYourCalm},
+		{"WINDOW_UPDATE of the connection, many", open, many(frame(http2.FrameWindowUpdate, 0, 0, 0, 0, 0, 1)), http2.ErrCodeEnhanceYourCalm},
+		{"WINDOW_UPDATE, idle stream", open, frame(http2.FrameWindowUpdate, 0, 9, 0, 0, 0, 1), http2.ErrCodeProtocol},
+		{"WINDOW_UPDATE, too far", open, frame(http2.FrameWindowUpdate, 0, 0, 0x7f, 0xff, 0xff, 0xff), http2.ErrCodeFlowControl},
+		{"unknown, many", open, many(frame(0x77, 0, 0)), http2.ErrCodeEnhanceYourCalm},
+		{"longer than allowed", open, frame(http2.FrameData, 0, 1, make([]byte, 20<<10)...), http2.ErrCodeFrameSize},
+	} {
+		t.Run(f.name, func(t *testing.T) {
+			inWorld(t, http2Listener, func(w *world) {
+				c := w.h2()
+				f.first(c)
+				go c.nc.Write(f.send)
+				got := c.read(5 * time.Second)
+				if count(got, f.want.String()) != 1 || count(got, "goaway") != 1 {
+					t.Errorf("got %v, want GOAWAY with %v", got, f.want)
+				}
+				w.fine()
+				c.nc.Close()
+			})
+		})
+	}
+}
+
+// A header block that never ends is cut by its time; a long download pays for its
+// WINDOW_UPDATE frames.
+func TestFramesInTime(t *testing.T) {
+	inWorld(t, http2Listener, func(w *world) {
+		c := w.h2()
+		c.request(1, false, "POST", "/notes/1")
+		c.nc.Write(frame(http2.FrameHeaders, 0, 3, 0x82))
+		if got := c.read(30 * time.Second); count(got, "end") != 1 {
+			t.Errorf("a header block may take for ever: %v", got)
+		}
+		c.nc.Close()
+	})
+	inWorld(t, http2Listener, func(w *world) {
+		body := strings.Repeat("x", 90_000)
+		w.raw(func(c net.Conn, _ *http.Request, _ int) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		})
+		c := w.h2()
+		got := 0
+		for id := uint32(1); id < 40; id += 2 {
+			c.request(id, true, "GET", "/records/1")
+			c.nc.SetReadDeadline(time.Now().Add(3 * time.Second))
+			for whole := 0; whole < len(body); {
+				f, err := c.fr.ReadFrame()
+				if err != nil {
+					t.Fatalf("after %d bytes: %v", got, err)
+				}
+				if d, ok := f.(*http2.DataFrame); ok {
+					whole, got = whole+len(d.Data()), got+len(d.Data())
+					// One for each frame on both levels, as clients do.
+					c.fr.WriteWindowUpdate(0, uint32(len(d.Data())))
+					c.fr.WriteWindowUpdate(id, uint32(len(d.Data())))
+				} else if g, ok := f.(*http2.GoAwayFrame); ok {
+					t.Fatalf("after %d bytes: %v", got, g.ErrCode)
+				} else if m, ok := f.(*http2.MetaHeadersFrame); ok && m.PseudoValue("status") != "200" {
+					return // the quota is used up: enough was read
+				}
+			}
+		}
+		c.nc.Close()
+	})
+}
+
+// Over HTTP/1.1, what stands around chunks is bounded by what is in them.
+func TestChunkExtensions(t *testing.T) {
+	inWorld(t, "", func(w *world) {
+		nc, err := w.host.Dial(context.Background(), "10.0.0.1:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		io.WriteString(nc, "POST /notes/1 HTTP/1.1\r\nHost: h\r\nX-Api-Key: k-school\r\nTransfer-Encoding: chunked\r\n\r\n")
+		go func() {
+			for range 12 {
+				if _, err := io.WriteString(nc, "1;"+strings.Repeat("e", 4000)+"\r\nx\r\n"); err != nil {
+					return
+				}
+			}
+		}()
+		b, _ := io.ReadAll(nc)
+		if !strings.HasPrefix(string(b), "HTTP/1.1 400 ") {
+			t.Errorf("%.80q", b)
+		}
+	})
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -132,7 +132,16 @@
 	if why := ambiguous(path); why != "" {
 		return t, refusal(node.BadRequest, "%s", why)
 	}
+	for _, name := range []string{in.cfg.Clients.KeyHeader, fieldKey, fieldAttempt, in.cfg.Clients.PatienceHeader, fieldTrace} {
+		if differs(c.Header, name) {
+			return t, refusal(node.BadRequest, "the field %s comes with values that differ", name)
+		}
+	}
 	customer := in.keys[c.Header.Get(in.cfg.Clients.KeyHeader)]
+	if v := c.Header.Get(in.cfg.Clients.KeyHeader); customer == nil && strings.Contains(v, ",") {
+		// As a proxy joins them.
+		return t, refusal(node.BadRequest, "the field %s comes more than once", in.cfg.Clients.KeyHeader)
+	}
 	if customer == nil {
 		return t, refusal(node.UnknownKey, "the field %s names no customer", in.cfg.Clients.KeyHeader)
 	}
@@ -168,6 +177,22 @@
 	return t, nil
 }
 
+// differs tells whether a field that must come once comes with values that differ:
+// who stands in front may have gone by another one.
+func differs(h http1.Header, name string) bool {
+	first, have := "", false
+	for _, f := range h {
+		if !strings.EqualFold(f.Name, name) {
+			continue
+		}
+		if have && f.Value != first {
+			return true
+		}
+		first, have = f.Value, true
+	}
+	return false
+}
+
 // ambiguous says why a path could be read differently by a server, or "".
 func ambiguous(path string) string {
 	if path == "" || path[0] != '/' {
--- a/internal/http1/read.go
+++ b/internal/http1/read.go
@@ -322,11 +322,15 @@
 
 func (r *Reader) chunked() ([]byte, error) {
 	var body []byte
-	for {
+	for around := 0; ; {
 		b, err := r.line(400)
 		if err != nil {
 			return body, cut(err)
 		}
+		// Chunks of a byte are a client's right; extensions are read for nothing.
+		if around += len(b) + 4; around > r.lim.Header+8*len(body) {
+			return body, bad(400, "more around chunks than in them")
+		}
 		size, _, _ := strings.Cut(string(b), ";")
 		n, ok := digits(strings.TrimRight(size, " \t"), 16)
 		if !ok || size == "" {
