Fields that must come once: one wording on all fronts

The fronts' table showed the Check path to word it otherwise: values that a proxy joined with commas are now told apart in the same place.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -132,15 +132,15 @@
 	if why := ambiguous(path); why != "" {
 		return t, refusal(node.BadRequest, "%s", why)
 	}
-	for _, name := range []string{in.cfg.Clients.KeyHeader, fieldKey, fieldAttempt, in.cfg.Clients.PatienceHeader, fieldTrace} {
-		if differs(c.Header, name) {
-			return t, refusal(node.BadRequest, "the field %s comes with values that differ", name)
-		}
-	}
 	customer := in.keys[c.Header.Get(in.cfg.Clients.KeyHeader)]
-	if v := c.Header.Get(in.cfg.Clients.KeyHeader); customer == nil && strings.Contains(v, ",") {
-		// As a proxy joins them.
-		return t, refusal(node.BadRequest, "the field %s comes more than once", in.cfg.Clients.KeyHeader)
+	for _, f := range []struct {
+		name   string
+		joined bool
+	}{{in.cfg.Clients.KeyHeader, customer == nil}, {fieldKey, false}, {fieldTrace, false}, {fieldAttempt, true},
+		{in.cfg.Clients.PatienceHeader, true}} {
+		if differs(c.Header, f.name, f.joined) {
+			return t, refusal(node.BadRequest, "the field %s comes with values that differ", f.name)
+		}
 	}
 	if customer == nil {
 		return t, refusal(node.UnknownKey, "the field %s names no customer", in.cfg.Clients.KeyHeader)
@@ -178,8 +178,9 @@
 }
 
 // differs tells whether a field that must come once comes with values that differ:
-// who stands in front may have gone by another one.
-func differs(h http1.Header, name string) bool {
+// who stands in front may have gone by another one. Proxies that ask by ext_authz
+// may have joined them with commas.
+func differs(h http1.Header, name string, joined bool) bool {
 	first, have := "", false
 	for _, f := range h {
 		if !strings.EqualFold(f.Name, name) {
@@ -190,6 +191,13 @@
 		}
 		first, have = f.Value, true
 	}
+	if one, rest, more := strings.Cut(first, ","); joined && more {
+		for v := range strings.SplitSeq(rest, ",") {
+			if strings.TrimSpace(v) != strings.TrimSpace(one) {
+				return true
+			}
+		}
+	}
 	return false
 }
 
