Without mail the counter is the witness of what others pass

Need: with all messages between nodes lost the worst customer was 5 to 7% over its quota. The tally now asks for the totals of those in use, those near their quota first, while its node hears no peer, and tells the module's Level; the module heeds it while it hears none who could tell (all peers silent, or fewer than half of its asks answered), and takes the peers' next words as a new base.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -75,6 +75,8 @@
 	leastReply   = 30 * time.Millisecond // an answer is waited for this long at least
 	replySpread  = 2.5                   // and for this many mean times
 	unheardPower = 4.0                   // what no root answers passes with this power of the share answered
+	deafBelow    = 0.5                   // with fewer asks answered another witness is heeded,
+	witnessLife  = 3 * time.Second       // for so long
 	thinSpan     = 20 * time.Second      // a root's word of what part fits is heeded so long
 	leaseAim     = 1.0                   // an attempt not told of as ended counts for this part of its aim
 	mostPace     = 12.0                  // most a server's pace is taken for
@@ -732,13 +734,30 @@
 }
 
 // onLevel takes a customer's store from another witness while this gateway has
-// run too shortly to know it. Guards against a quota granted twice after
-// restarts; harms when the witness is behind, by what was passed since.
+// run too shortly to know it, or hears none of those who could tell. Guards
+// against a quota granted twice after restarts, and without mail; harms when the
+// witness is behind, by what was passed since.
 func (g *Gateway) onLevel(ev Level) {
-	if c := g.customers[keyOf(ev.Customer)]; c != nil && !c.known {
-		g.advance(c)
-		c.known, c.store = true, min(c.plan.Burst, max(0, ev.Units))
+	c := g.customers[keyOf(ev.Customer)]
+	if c == nil || c.known && !g.deaf(c) {
+		return
+	}
+	g.advance(c)
+	if c.known {
+		c.witness = g.now
+		for _, v := range c.set { // what they will say was passed is in the level
+			v.heard = false
+		}
 	}
+	c.known, c.store = true, min(c.plan.Burst, max(0, ev.Units))
+}
+
+// deaf tells whether none is heard who could tell of a customer's use elsewhere.
+func (g *Gateway) deaf(c *customer) bool {
+	if len(c.ask) > 0 {
+		return g.heard < deafBelow
+	}
+	return len(c.set) > 0 && !slices.ContainsFunc(c.set, func(v *peerView) bool { return !g.silent(v.p) })
 }
 
 // Asking the roots of a customer: where its counts are not here, a request
@@ -753,6 +772,9 @@
 	if delete(g.asks, r.tag); r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline {
 		// Where much of the mail is lost the roots are flooded: few may pass unheard.
 		pass := math.Pow(g.heard, unheardPower)
+		if c.witness > 0 && g.now-c.witness < witnessLife {
+			pass = 1
+		}
 		if r.waits || g.now >= r.deadline || g.rng.Float64() > pass || c.plan.HardRate > 0 ||
 			!g.within(r) || !g.try(r) {
 			g.refuse(r, either(r.waits, OverCap, NoRoot))
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,6 +30,7 @@
 	at        time.Duration // time of the stores below
 	store     float64       // estimate of the quota's store
 	known     bool          // the estimate rests on more than a fresh start
+	witness   time.Duration // when another witness last told the store, unheard as it was
 	ceiling   float64       // own hard part of the ceiling
 	passed    uint16        // running totals of units, told to peers
 	rate      float64       // own asked units, decayed over demandSpan
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -30,6 +30,10 @@
 	forgetAfter = 2 * time.Minute        // a customer without news is dropped from memory after this
 	tellMost    = 12                     // registers in one message
 	epochEvery  = time.Second            // a part\'s epoch is asked for
+
+	deafAfter   = 1500 * time.Millisecond // without a word of a peer its node may hear none
+	nearQuota   = 2.0                     // seconds of waiting that an empty store is worth then
+	deafRefresh = 500 * time.Millisecond  // then who is in use is asked for again after this
 )
 
 // Milli is units in thousandths, as they are counted.
@@ -108,7 +112,8 @@
 	Registers []Register
 }
 
-// Restore says how full a customer's store is, to a node that can't know.
+// Restore says how full a customer's store is, to a node that can't know: its
+// process is young, or it may hear none of the others.
 type Restore struct {
 	Customer string
 	Units    float64
@@ -238,6 +243,7 @@
 	at        time.Time
 	start     time.Time // of this process
 	swept     time.Time
+	heardAt   time.Time // the last word of a peer
 	acts      []Action
 }
 
@@ -357,6 +363,11 @@
 	c.level.Units = max(0, c.level.Units-float64(n)/1000)
 }
 
+// levelAt is how full the store is by now, as far as is known.
+func (c *customer) levelAt(now time.Time) float64 {
+	return min(c.plan.Burst, c.level.Units+c.plan.Rate*max(0, now.Sub(c.level.At).Seconds()))
+}
+
 func (c *customer) fill(now time.Time) {
 	if dt := now.Sub(c.level.At).Seconds(); dt > 0 {
 		c.level.Units = min(c.plan.Burst, c.level.Units+c.plan.Rate*dt)
@@ -388,6 +399,13 @@
 	}
 	t.budget = min(max(1, t.set.Calls), t.budget+t.set.Calls*dt)
 	t.mail = min(max(1, t.set.Mail), t.mail+t.set.Mail*dt)
+	if t.deaf(now) {
+		for _, a := range t.recent {
+			if a.newest && !a.queued && !a.calling && len(a.peers) > 1 && now.Sub(a.asked) > deafRefresh {
+				t.want(now, a)
+			}
+		}
+	}
 	t.call(now)
 	t.tell()
 	if now.Sub(t.swept) > refresh {
@@ -397,6 +415,12 @@
 	return t.acts
 }
 
+// deaf tells whether this node may hear none of the others: the counter is the
+// witness then of what they pass.
+func (t *Tally) deaf(now time.Time) bool {
+	return now.Sub(t.heardAt) > deafAfter && now.Sub(t.start) > deafAfter
+}
+
 // call makes calls for those that want one: where most is not in the counter
 // first, against what the plan lets pass at once, then who waits longest.
 func (t *Tally) call(now time.Time) {
@@ -404,6 +428,7 @@
 		return
 	}
 	h := make(byUrgency, 0, len(t.wanting))
+	deaf := t.deaf(now)
 	left := t.wanting[:0]
 	for _, a := range t.wanting {
 		if now.Before(t.parts[t.Part(a.key.Customer)].askAt) {
@@ -417,6 +442,9 @@
 		if a.asked.IsZero() {
 			u++
 		}
+		if c := t.customers[a.key.Customer]; deaf && c != nil && a.newest && c.plan.Burst > 0 {
+			u += nearQuota * (1 - c.levelAt(now)/c.plan.Burst) // who is near its quota is decided by it
+		}
 		h = append(h, urgent{u, a})
 	}
 	heap.Init(&h)
@@ -536,6 +564,9 @@
 	a.asked = now
 	if c := t.customers[a.key.Customer]; c != nil && !c.known && a.newest {
 		t.learn(now, c, ans.Level)
+	} else if c != nil && a.newest && t.deaf(now) {
+		c.fill(now)
+		t.acts = append(t.acts, Restore{c.name, c.level.Units})
 	}
 	if a.changed || t.missing(a) {
 		t.want(now, a)
@@ -736,6 +767,7 @@
 
 // Heard tells of registers that another node sent.
 func (t *Tally) Heard(now time.Time, from int, list []Register) {
+	t.heardAt = now
 	for _, r := range list {
 		c := t.customers[r.Key.Customer]
 		if c == nil || r.Owner.Node != from {
