Tally: storage hears of changes alone; totals of the dead are raised again

Need: a save listed all own totals in the loop (10 ms a second at 100,000 customers); a dead process's total that an old copy brought back lower stayed low.

The test of torn stores wrote a total of 0 units, which now means to take it out: it writes 1 to 50.

--- a/gateway/tally.go
+++ b/gateway/tally.go
@@ -23,18 +23,19 @@
 	tallyMail  = 0.05 // of the mail that a node takes in; the module's reports have 0.85
 	tallyMark  = 'T'  // first byte of its messages; the module's begin with their version
 	tallyEntry = 8 + 4 + 8
+	saveAtOnce = 2000 // accounts looked at in one turn of the loop
 )
 
 // ledger runs a Tally in the node's loop, and carries out what it says.
 type ledger struct {
-	g      *Gateway
-	t      *tally.Tally
-	client *counter.Client
-	tell   func(to int, data []byte)
-	names  map[uint64]string // of customers, by hash
-	peers  map[string][]int
-	inc    uint64
-	saved  []tally.Register // as storage holds them
+	g       *Gateway
+	t       *tally.Tally
+	client  *counter.Client
+	tell    func(to int, data []byte)
+	names   map[uint64]string // of customers, by hash
+	peers   map[string][]int
+	inc     uint64
+	unsaved []tally.Register // that storage could not take
 }
 
 // newLedger opens what a tally needs. It is nil where no counter is configured.
@@ -106,24 +107,34 @@
 	}
 }
 
+// save stores what has changed, some accounts at a time: each look takes the loop
+// well under a millisecond.
 func (l *ledger) save(ctx context.Context, db *store.Store) {
-	lists := make(chan []tally.Register, 1)
-	l.g.node.Do(func() { lists <- l.t.Own(l.g.o.Wall()) })
-	select {
-	case list := <-lists:
-		slices.SortFunc(list, func(a, b tally.Register) int {
-			return cmp.Or(cmp.Compare(a.Key.Customer, b.Key.Customer), cmp.Compare(a.Key.Window, b.Key.Window),
-				cmp.Compare(a.Owner.Incarnation, b.Owner.Incarnation))
+	for more := true; more; {
+		lists := make(chan []tally.Register, 1)
+		l.g.node.Do(func() {
+			var list []tally.Register
+			list, more = l.t.Changes(l.g.o.Wall(), saveAtOnce)
+			lists <- list
 		})
-		if slices.Equal(list, l.saved) {
-			return
-		}
-		if err := db.Save(list); err != nil {
-			l.g.o.Log.Error("totals can't be stored; the node serves on", "error", err)
+		select {
+		case list := <-lists:
+			// What could not be stored is tried again with the next.
+			if l.unsaved = append(l.unsaved, list...); len(l.unsaved) == 0 {
+				return
+			}
+			slices.SortStableFunc(l.unsaved, func(a, b tally.Register) int { // bbolt takes keys in order best
+				return cmp.Or(cmp.Compare(a.Owner.Incarnation, b.Owner.Incarnation), cmp.Compare(a.Key.Window, b.Key.Window),
+					cmp.Compare(a.Key.Customer, b.Key.Customer))
+			})
+			if err := db.Save(l.unsaved); err != nil {
+				l.g.o.Log.Error("totals can't be stored; the node serves on", "error", err)
+				return
+			}
+			l.unsaved = nil
+		case <-ctx.Done():
 			return
 		}
-		l.saved = list
-	case <-ctx.Done():
 	}
 }
 
--- a/gateway/tally_test.go
+++ b/gateway/tally_test.go
@@ -177,9 +177,15 @@
 	}
 	var list []tally.Register
 	for i := range 50 {
-		list = append(list, tally.Register{Key: tally.Key{Customer: fmt.Sprint("c", i), Window: 7}, Owner: tally.Owner{Node: 3, Incarnation: 9}, Units: tally.Milli(i)})
+		list = append(list, tally.Register{Key: tally.Key{Customer: fmt.Sprint("c", i), Window: 7}, Owner: tally.Owner{Node: 3, Incarnation: 9}, Units: tally.Milli(i + 1)})
 	}
-	if err := s.Save(list); err != nil {
+	extra := list[0]
+	extra.Key.Customer = "taken out again"
+	if err := s.Save(append(list, extra)); err != nil {
+		t.Fatal(err)
+	}
+	extra.Units = 0
+	if err := s.Save([]tally.Register{extra}); err != nil {
 		t.Fatal(err)
 	}
 	if _, _, _, err := store.Open(path, 3); err == nil {
--- a/lab/quota.go
+++ b/lab/quota.go
@@ -493,7 +493,7 @@
 		}
 		return int(int64(a.Owner.Incarnation) - int64(b.Owner.Incarnation))
 	})
-	for _, r := range call.Own {
+	for _, r := range call.Raise {
 		m[r.Owner] = r.Units
 	}
 	for _, r := range call.Seed {
--- a/store/store.go
+++ b/store/store.go
@@ -140,19 +140,20 @@
 		Key: tally.Key{Window: int64(number(k[16:24])), Customer: string(k[24:])}, Units: tally.Milli(number(v))}, nil
 }
 
-// Save replaces the totals by a list, in one transaction: after a kill at any
-// moment either the old ones or the new ones are there.
-func (s *Store) Save(list []tally.Register) error {
+// Save puts totals, and takes out those of 0 units, in one transaction: after a
+// kill at any moment either all of it is done or none.
+func (s *Store) Save(changes []tally.Register) error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
-		if err := tx.DeleteBucket(regsBucket); err != nil {
-			return err
-		}
-		b, err := tx.CreateBucket(regsBucket)
-		if err != nil {
-			return err
-		}
-		for _, r := range list {
-			if err := b.Put(encode(r)); err != nil {
+		b := tx.Bucket(regsBucket)
+		for _, r := range changes {
+			k, v := encode(r)
+			var err error
+			if r.Units == 0 {
+				err = b.Delete(k)
+			} else {
+				err = b.Put(k, v)
+			}
+			if err != nil {
 				return err
 			}
 		}
--- a/tally/counter/client.go
+++ b/tally/counter/client.go
@@ -89,7 +89,7 @@
 		}
 		all = p.HGetAll(ctx, key)
 		var set []any
-		for _, r := range call.Own {
+		for _, r := range call.Raise {
 			set = append(set, field(r.Owner), int64(r.Units))
 		}
 		if !call.Level.At.IsZero() {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -81,13 +81,13 @@
 // Action is something a Tally wants done.
 type Action interface{ action() }
 
-// Call asks for all registers of a total, then raises this node's, and puts
-// those in Seed where there are none. Answered must follow.
+// Call asks for all registers of a total, then sets those in Raise, and puts those
+// in Seed where there are none. Answered must follow.
 type Call struct {
 	ID    uint64
 	Part  int
 	Key   Key
-	Own   []Register // of this process, and of earlier ones of this node
+	Raise []Register // of this process, of earlier ones of this node, and of dead ones that the counter holds lower
 	Seed  []Register // of others
 	Level Level      // to be kept beside them; At zero: none
 
@@ -98,7 +98,7 @@
 // Cost is how many commands the call takes.
 func (c Call) Cost() int {
 	n := 1 + len(c.Seed)
-	for _, also := range []bool{len(c.Own) > 0 || !c.Level.At.IsZero(), c.Expire, c.Epoch} {
+	for _, also := range []bool{len(c.Raise) > 0 || !c.Level.At.IsZero(), c.Expire, c.Epoch} {
 		if also {
 			n++
 		}
@@ -164,6 +164,8 @@
 	inCtr Milli     // as the counter last confirmed; below 0: to be put in again
 	proof Milli     // what the owner's node said itself, to be found in the counter,
 	at    time.Time // then; zero: nothing to be found
+
+	stored Milli // as storage holds it; 0: it does not
 }
 
 // account is one customer in one window.
@@ -181,6 +183,7 @@
 	newest  bool      // the customer's latest window
 	recent  bool      // in the list of those used since the last sweep
 	dropped bool      // no longer in memory
+	dirty   bool      // in the list of those to be stored
 }
 
 // customer is what outlives windows.
@@ -230,11 +233,14 @@
 	customers map[string]*customer
 	accounts  map[Key]*account
 	windows   map[int64][]*account
-	rounds    []round    // of each part
-	recent    []*account // used since the last sweep
-	lastW     int64      // window of the last sweep
-	wanting   []*account // want a call
-	untold    []*account // have news for peers
+	rounds    []round        // of each part
+	latest    map[int]uint64 // the last process known of each node
+	dirty     []*account     // something of own registers is not as storage holds it
+	dropped   []Register     // that storage holds, of accounts that are gone
+	recent    []*account     // used since the last sweep
+	lastW     int64          // window of the last sweep
+	wanting   []*account     // want a call
+	untold    []*account     // have news for peers
 	calls     map[uint64]*call
 	nextID    uint64
 	parts     []part
@@ -249,7 +255,7 @@
 
 // New returns a Tally that knows nothing yet.
 func New(s Settings) *Tally {
-	return &Tally{set: s, customers: map[string]*customer{}, accounts: map[Key]*account{}, calls: map[uint64]*call{},
+	return &Tally{set: s, customers: map[string]*customer{}, accounts: map[Key]*account{}, calls: map[uint64]*call{}, latest: map[int]uint64{s.Me.Node: s.Me.Incarnation},
 		windows: map[int64][]*account{}, rounds: make([]round, max(1, s.Parts)), parts: make([]part, max(1, s.Parts)), budget: s.Calls, mail: s.Mail}
 }
 
@@ -262,6 +268,10 @@
 			g.units, g.heard = r.Units, now
 			t.want(now, a)
 		}
+		if g := a.reg(r.Owner); r.Owner.Node == t.set.Me.Node {
+			g.stored = r.Units
+			t.soil(a)
+		}
 	}
 }
 
@@ -349,6 +359,7 @@
 	n := Milli(units*1000 + 0.5)
 	g := c.now.reg(t.set.Me)
 	g.units, g.heard = g.units+n, now
+	t.soil(c.now)
 	c.use(now, n)
 	t.want(now, c.now)
 	if !c.now.untold && len(c.now.peers) > 1 {
@@ -509,8 +520,8 @@
 		}
 		c.Expire = c.Expire || g.inCtr < 0
 		r := Register{a.key, o, g.units}
-		if o.Node == t.set.Me.Node {
-			c.Own = append(c.Own, r)
+		if o.Node == t.set.Me.Node || t.fallen(a, o, g) {
+			c.Raise = append(c.Raise, r)
 		} else if g.inCtr < 0 || !g.at.IsZero() && now.Sub(g.at) > settle {
 			c.Seed = append(c.Seed, r)
 		}
@@ -521,7 +532,7 @@
 	}
 	t.budget -= float64(c.Cost())
 	a.calling, a.changed = true, false
-	t.calls[c.ID] = &call{a, c.Own}
+	t.calls[c.ID] = &call{a, c.Raise}
 	t.acts = append(t.acts, c)
 }
 
@@ -562,6 +573,7 @@
 		}
 	}
 	a.asked = now
+	t.soil(a)
 	if c := t.customers[a.key.Customer]; c != nil && !c.known && a.newest {
 		t.learn(now, c, ans.Level)
 	} else if c != nil && a.newest && t.deaf(now) {
@@ -598,16 +610,24 @@
 	t.acts = append(t.acts, Restore{c.name, c.level.Units})
 }
 
-// missing tells whether own registers are not in the counter as they should be.
+// missing tells whether registers that are this node's to raise are not in the
+// counter as they should be.
 func (t *Tally) missing(a *account) bool {
 	for o, g := range a.regs {
-		if o.Node == t.set.Me.Node && g.inCtr < g.units {
+		if o.Node == t.set.Me.Node && g.inCtr < g.units || t.fallen(a, o, g) {
 			return true
 		}
 	}
 	return false
 }
 
+// fallen tells whether the counter holds a register of a dead process lower than
+// it was. Its owner raises it no more: who knew it does. Two that knew different
+// amounts may undo each other once; the larger stands at the end.
+func (t *Tally) fallen(a *account, o Owner, g *register) bool {
+	return !a.asked.IsZero() && g.inCtr > 0 && g.inCtr < g.units && o.Incarnation < t.latest[o.Node]
+}
+
 // noAnswer: the call may have counted. Registers make it harmless to ask again.
 func (t *Tally) noAnswer(now time.Time, a *account, p *part) {
 	p.failed++
@@ -715,6 +735,7 @@
 		for _, g := range a.regs {
 			g.inCtr = min(g.inCtr, 0) - 1 // marked as to be put in again
 		}
+		t.soil(a)
 		if a != cause {
 			t.want(now, a)
 		}
@@ -743,6 +764,7 @@
 
 // merge takes in a register from the counter or from its owner's node.
 func (t *Tally) merge(now time.Time, a *account, r Register, told bool) {
+	t.latest[r.Owner.Node] = max(t.latest[r.Owner.Node], r.Owner.Incarnation)
 	if r.Owner == t.set.Me {
 		return // nobody knows it better
 	}
@@ -856,6 +878,11 @@
 			}
 			delete(t.accounts, a.key)
 			a.dropped = true
+			for o, g := range a.regs {
+				if g.stored > 0 {
+					t.dropped = append(t.dropped, Register{a.key, o, 0})
+				}
+			}
 			return true
 		})
 		if len(t.windows[k]) == 0 {
@@ -919,22 +946,48 @@
 // State is what is believed of a part.
 func (t *Tally) State(part int) State { return t.parts[part].state }
 
-// Own lists the registers of this node that storage must hold: those that the
-// counter has not confirmed, and those of windows still open. They are in no
-// order: sorting many would hold the loop up.
-func (t *Tally) Own(now time.Time) []Register {
+// soil puts an account among those to be compared with storage.
+func (t *Tally) soil(a *account) {
+	if !a.dirty && !a.dropped {
+		a.dirty = true
+		t.dirty = append(t.dirty, a)
+	}
+}
+
+// Changes lists what storage must change to hold this node's registers that the
+// counter has not confirmed, and those of windows still open: registers to put, and
+// those with 0 units to take out. It looks at so many accounts at most, so that the
+// loop is not held up; more tells that there are others.
+func (t *Tally) Changes(now time.Time, most int) (list []Register, more bool) {
 	w := t.window(now)
-	list := make([]Register, 0, len(t.accounts))
-	for _, accounts := range t.windows {
-		for _, a := range accounts {
-			for o, g := range a.regs {
-				if o.Node == t.set.Me.Node && (g.inCtr < g.units || a.key.Window >= w-1) {
-					list = append(list, Register{a.key, o, g.units})
-				}
+	n := min(most, len(t.dirty))
+	for _, a := range t.dirty[:n] {
+		a.dirty = false
+		if a.dropped {
+			continue // its registers are in t.dropped
+		}
+		for o, g := range a.regs {
+			if o.Node != t.set.Me.Node {
+				continue
+			}
+			units := g.units
+			if g.inCtr >= g.units && a.key.Window < w-1 {
+				units = 0
+			}
+			if units != g.stored {
+				g.stored = units
+				list = append(list, Register{a.key, o, units})
 			}
 		}
 	}
-	return list
+	clear(t.dirty[:n])
+	if t.dirty = t.dirty[n:]; len(t.dirty) == 0 {
+		t.dirty = nil
+	}
+	k := min(most, len(t.dropped))
+	list = append(list, t.dropped[:k]...)
+	t.dropped = t.dropped[k:]
+	return list, len(t.dirty) > 0 || len(t.dropped) > 0
 }
 
 // Len is the number of customers and of totals in memory, and of those that
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -49,7 +49,7 @@
 	for o, u := range m {
 		ans.Registers = append(ans.Registers, Register{c.Key, o, u})
 	}
-	for _, r := range c.Own {
+	for _, r := range c.Raise {
 		m[r.Owner] = r.Units
 	}
 	for _, r := range c.Seed {
@@ -63,6 +63,20 @@
 	return ans
 }
 
+// save does what the store does with changes.
+func (m *member) save(now time.Time) {
+	for more := true; more; {
+		var list []Register
+		list, more = m.t.Changes(now, 2)
+		for _, r := range list {
+			key := Register{Key: r.Key, Owner: r.Owner}
+			if m.disk[key] = r.Units; r.Units == 0 {
+				delete(m.disk, key)
+			}
+		}
+	}
+}
+
 // merge takes the other's totals in, by the larger.
 func (h *holds) merge(o *holds) {
 	for k, m := range o.regs {
@@ -92,7 +106,7 @@
 
 type member struct {
 	t    *Tally
-	disk []Register // as last saved
+	disk map[Register]Milli // as last saved, by register without its units
 	inc  uint64
 	n    int
 }
@@ -107,7 +121,7 @@
 	w.side[0] = newHolds("1")
 	w.side[1] = w.side[0]
 	for i := range nodes {
-		w.nodes = append(w.nodes, &member{t: New(w.settings(i, 1)), inc: 1, n: i})
+		w.nodes = append(w.nodes, &member{t: New(w.settings(i, 1)), disk: map[Register]Milli{}, inc: 1, n: i})
 	}
 	return w
 }
@@ -166,9 +180,13 @@
 	m.inc++
 	m.t = New(w.settings(m.n, m.inc))
 	if disk {
-		m.t.Recall(w.now, m.disk)
+		var list []Register
+		for r, units := range m.disk {
+			list = append(list, Register{r.Key, r.Owner, units})
+		}
+		m.t.Recall(w.now, list)
 	} else {
-		m.disk = nil
+		m.disk = map[Register]Milli{}
 	}
 }
 
@@ -246,7 +264,7 @@
 			},
 			"save": func(t *rapid.T) {
 				m := w.nodes[node.Draw(t, "node")]
-				m.disk = m.t.Own(w.now)
+				m.save(w.now)
 			},
 			"kill": func(t *rapid.T) { w.restart(w.nodes[node.Draw(t, "node")], true) },
 			"lose disk": func(t *rapid.T) {
@@ -482,7 +500,7 @@
 		}
 		carry(tl.Tick(now))
 		for _, c := range out {
-			carry(tl.Answered(now, c.ID, Answer{Epoch: "1", Registers: c.Own}))
+			carry(tl.Answered(now, c.ID, Answer{Epoch: "1", Registers: c.Raise}))
 		}
 		out = out[:0]
 	}
