--- a/cmd/yardcleat/hunt.go
+++ b/cmd/yardcleat/hunt.go
@@ -28,6 +28,16 @@
 		Args: cobra.NoArgs, Run: func(*cobra.Command, []string) { virtual.Worker() }}
 }
 
+// workers is a pool of this program's own workers.
+func workers() (*virtual.Pool, error) {
+	program, err := os.Executable()
+	return &virtual.Pool{Longest: 2 * time.Minute, Command: func() *exec.Cmd {
+		c := exec.Command(program, "lab", "worker")
+		c.Env = append(os.Environ(), "GOMAXPROCS=1") // one bubble has little to share out
+		return c
+	}}, err
+}
+
 // hunter is a hunt under way.
 type hunter struct {
 	cmd     *cobra.Command
@@ -130,10 +140,6 @@
 func (h *hunter) run() error {
 	ctx, stop := signal.NotifyContext(h.cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	program, err := os.Executable()
-	if err != nil {
-		return err
-	}
 	src, err := day.Source("base")
 	if err != nil {
 		return err
@@ -141,11 +147,9 @@
 	if h.base, err = day.Parse(src, "base.hcl"); err != nil {
 		return err
 	}
-	h.pool = &virtual.Pool{Longest: 2 * time.Minute, Command: func() *exec.Cmd {
-		c := exec.Command(program, "lab", "worker")
-		c.Env = append(os.Environ(), "GOMAXPROCS=1") // one bubble has little to share out
-		return c
-	}}
+	if h.pool, err = workers(); err != nil {
+		return err
+	}
 	defer h.pool.Close()
 	if h.keep != "" {
 		if err := os.MkdirAll(h.keep, 0o755); err != nil {
--- a/cmd/yardcleat/lab.go
+++ b/cmd/yardcleat/lab.go
@@ -12,7 +12,7 @@
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Run experiments in simulated time"}
-	c.AddCommand(huntCommand(), workerCommand(), quotaCommand())
+	c.AddCommand(huntCommand(), stallsCommand(), workerCommand(), quotaCommand())
 	return c
 }
 
--- a/day/report.go
+++ b/day/report.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"yardcleat.example/yardcleat/audit"
+	"yardcleat.example/yardcleat/node"
 )
 
 // Report is what came of a day.
@@ -26,12 +27,54 @@
 	Attempts int             `json:"attempts"` // that reached servers
 	Tally    *Tally          `json:"tally,omitempty"`
 	Rules    []audit.Finding `json:"rules"`
-	Near     []audit.Margin  `json:"near"`   // how near each rule came to being broken
-	Open     []audit.Open    `json:"open"`   // of customers with a cap, the most out at once; the worst first
-	Worth    float64         `json:"worth"`  // answers served within their aim
+	Near     []audit.Margin  `json:"near"`  // how near each rule came to being broken
+	Open     []audit.Open    `json:"open"`  // of customers with a cap, the most out at once; the worst first
+	Worth    float64         `json:"worth"` // answers served within their aim
+	Stops    *Stops          `json:"stops,omitempty"`
 	Errors   []string        `json:"errors"` // of the day itself
 }
 
+// Stops is what came of tries that a stop of their node met, and of those within
+// 5 s after it.
+type Stops struct {
+	Tries    int `json:"tries"`
+	Late     int `json:"late"`     // attempts sent after their client had left
+	Needless int `json:"needless"` // refused or failed for want of time, with 200 ms and more left
+	Served   int `json:"served"`
+}
+
+func (d *stage) stops() *Stops {
+	const after, left = 5 * time.Second, 200 * time.Millisecond
+	out := &Stops{}
+	met := map[string]*audit.Tried{}
+	for i := range d.record.Tried {
+		t := &d.record.Tried[i]
+		for _, w := range d.record.Down {
+			if w.Killed || w.Node != t.Node || t.GiveUp.Before(w.From) || t.Sent.After(w.To.Add(after)) || t.GiveUp.Before(w.To) && t.Sent.Before(w.From) {
+				continue
+			}
+			out.Tries++
+			met[t.Trace] = t
+			switch {
+			case t.Answer == "served":
+				out.Served++
+			case t.Reason == string(node.NoTime) && t.GiveUp.Sub(t.Answered) > left:
+				out.Needless++
+			}
+			break
+		}
+	}
+	if len(met) == 0 {
+		return nil
+	}
+	for _, s := range d.record.Seen {
+		if t := met[s.Trace]; t != nil && s.At.Sub(t.GiveUp) > d.record.Slop {
+			out.Late++
+		}
+	}
+	return out
+}
+
 // Features names what the day reached: answers by front, class and reason, and
 // pairs of them with what went on.
 func (r *Report) Features() []string {
@@ -121,6 +164,7 @@
 	r.Tally = d.tally()
 	r.Rules = audit.Check(&d.record)
 	r.Worth = float64(good)
+	r.Stops = d.stops()
 	cold := 0.0
 	for _, n := range d.colds {
 		cold = max(cold, n.Near())
--- a/day/virtual/defects.go
+++ b/day/virtual/defects.go
@@ -37,6 +37,27 @@
 	"ceiling-unknown":  edit(quotas, "rate = 100\n  burst = 100\n  open = 0"),
 }
 
+// Ways of living through stalls, as weighed: what is read to its end before
+// anything is sent, and from when what was read counts.
+var Ways = []string{"nothing", "read first", "age by the gap", "age by stamps", "read first, age by the gap",
+	"read first, age by stamps"}
+
+var ways = func() map[string]struct {
+	stall    stall.Settings
+	noStamps bool
+} {
+	type way = struct {
+		stall    stall.Settings
+		noStamps bool
+	}
+	none, read, age, both := stall.Default(), stall.Default(), stall.Default(), stall.Default()
+	none.Least, none.Ageless = time.Hour, true
+	read.Ageless = true
+	age.Most = 1
+	return map[string]way{Ways[0]: {none, true}, Ways[1]: {read, true}, Ways[2]: {age, true}, Ways[3]: {age, false},
+		Ways[4]: {both, true}, Ways[5]: {both, false}}
+}()
+
 const quotas = "rate = 8\n  burst = 16\n  open = 6\n  hard_rate = 14\n  hard_burst = 24"
 
 var windows = regexp.MustCompile(`window = "(2s|500ms)"`)
--- a/day/virtual/virtual.go
+++ b/day/virtual/virtual.go
@@ -30,6 +30,7 @@
 	Seed     uint64 `json:"seed"`   // of the network's and the nodes' chance
 	NoStamps bool   `json:"no_stamps,omitempty"`
 	Defect   string `json:"defect,omitempty"` // a defence that is taken out; see Defects
+	Way      string `json:"way,omitempty"`    // of living through stalls; see Ways
 }
 
 // Result is what came of a day.
@@ -62,6 +63,9 @@
 			res.Error = err.Error()
 			return
 		}
+		if w, ok := ways[j.Way]; ok {
+			env.Stall, m.NoStamps = w.stall, w.noStamps
+		}
 		if res.Report, err = day.Run(context.Background(), s, day.Options{Env: env}); err != nil {
 			res.Error = err.Error()
 		}
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -21,6 +21,9 @@
 	Calm  time.Duration // sockets must stay read to the end for so long
 	Most  time.Duration // the loop waits no longer for them
 	Keep  time.Duration // gaps that ended longer ago are forgotten
+
+	// Ageless counts what was read as just arrived; for experiments.
+	Ageless bool
 }
 
 // Default fits processes that answer in tens of milliseconds.
@@ -101,6 +104,9 @@
 // A wall clock that was set in between makes two readings of one stamp: in a gap
 // the earlier counts, as the safe one, and else the later.
 func (w *Watch) Arrival(r Read) time.Duration {
+	if w.s.Ageless {
+		return r.At
+	}
 	first := slices.IndexFunc(w.gaps, func(g Gap) bool { return g.To > r.Empty && g.From < r.At })
 	if !r.Known {
 		if first < 0 {
