--- a/cmd/yardcleat/main.go
+++ b/cmd/yardcleat/main.go
@@ -56,7 +56,11 @@
 	cfg, err := config.Load(path)
 	var m *config.Mistakes
 	if errors.As(err, &m) {
-		return nil, fmt.Errorf("%d mistakes in %s\n\n%w", len(m.Diagnostics), path, err)
+		n := "a mistake"
+		if len(m.Diagnostics) != 1 {
+			n = fmt.Sprint(len(m.Diagnostics), " mistakes")
+		}
+		return nil, fmt.Errorf("%s in %s\n\n%w", n, path, err)
 	}
 	return cfg, err
 }
--- a/cmd/yardcleat/standin.go
+++ b/cmd/yardcleat/standin.go
@@ -18,6 +18,7 @@
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/standin/authoriser"
 	"yardcleat.example/yardcleat/standin/catalogue"
+	"yardcleat.example/yardcleat/standin/counter"
 	"yardcleat.example/yardcleat/standin/discovery"
 	"yardcleat.example/yardcleat/standin/proxy"
 )
@@ -73,7 +74,7 @@
 	c := &cobra.Command{Use: "standin", Short: "Run a stand-in for a system around the gateway",
 		Long: "Run a stand-in until SIGTERM or SIGINT. It records what it receives on standard output.\n" +
 			"Faults come at times: --fault 5s:hang --fault 9s:ok."}
-	c.AddCommand(catalogueCommand(), authoriserCommand(), proxyCommand(), discoveryCommand())
+	c.AddCommand(catalogueCommand(), authoriserCommand(), counterCommand(), proxyCommand(), discoveryCommand())
 	return c
 }
 
@@ -91,7 +92,7 @@
 	var cores, queue int
 	var lookup, loan, window, warm time.Duration
 	c := &cobra.Command{Use: "catalogue", Short: "An application server: GET /records/…, keyed POST /loans/…, POST /notes/…",
-		Long: "Faults: hang, half-close, slow (a factor), fail (lookup, loan-change or note), ok.",
+		Long: "Faults: hang, half-close, reset, twice, slow (a factor), fail (lookup, loan-change or note), ok.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			out := lines()
 			s := catalogue.New(catalogue.Options{Name: name, Rack: &catalogue.Rack{Name: "rack", Window: window}, Cores: cores,
@@ -127,6 +128,19 @@
 	return c
 }
 
+func counterCommand() *cobra.Command {
+	var address string
+	var faults []string
+	c := &cobra.Command{Use: "counter", Short: "A shared counter (RESP: GET, SET, SETNX, HGETALL, HSET, HSETNX, PEXPIRE)",
+		Long: "Faults: silent, refuse, lose, slow (a duration), empty, save, restore, split, heal (first, second or both), ok.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s := counter.New()
+			return standin{s.Serve, s.Kill, s.Do}.run(cmd, address, faults)
+		}}
+	common(c, &address, &faults)
+	return c
+}
+
 func proxyCommand() *cobra.Command {
 	var address, gateway string
 	var noLogs bool
--- a/day/virtual/defects.go
+++ b/day/virtual/defects.go
@@ -19,7 +19,7 @@
 var defects = map[string]func(*day.Bubble){
 	// Rule 1.
 	"patience-not-read": edit("clients {", "clients {\n patience_header = \"x-none\""),
-	"stalls-not-seen":   func(b *day.Bubble) { b.Stall = stall.Settings{Beat: time.Second, Least: time.Hour, Most: 1, Keep: 1} },
+	"stalls-not-seen":   func(b *day.Bubble) { b.Stall = ways[Ways[0]].stall },
 	// Rule 2.
 	"keyed-taken-for-safe":  edit(`effect = "keyed"`, `effect = "safe"`),
 	"unsafe-taken-for-safe": edit(`effect = "unsafe"`, `effect = "safe"`),
--- /dev/null
+++ b/day/virtual/virtual_test.go
@@ -0,0 +1,55 @@
+package virtual
+
+import (
+	"testing"
+
+	"yardcleat.example/yardcleat/day"
+	"yardcleat.example/yardcleat/lab/hunt"
+)
+
+func base(t *testing.T) *day.Script {
+	t.Helper()
+	src, err := day.Source("base")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := day.Parse(src, "base.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Drawn days keep all rules; lab hunt plays them by the thousand.
+func TestDrawnDays(t *testing.T) {
+	for seed := range uint64(6) {
+		h := hunt.New(base(t), hunt.DefaultLimits(), 100+seed, false)
+		d := h.Next()
+		d.Script.Nodes = min(d.Script.Nodes, 4)
+		if d.Script.Check() != nil {
+			continue // a fault is aimed at a node that is no more
+		}
+		r := Play(t, Job{Source: d.Script.Source(), Seed: d.Seed, NoStamps: d.NoStamps})
+		if r.Error != "" || !r.Report.Kept() {
+			t.Errorf("%s: %s", d.Words(), r.Error)
+			if r.Report != nil {
+				r.Report.Write(t.Output())
+			}
+		}
+	}
+}
+
+// What the audit would see of a build that can't tell that it stood still.
+func TestStallsAreFound(t *testing.T) {
+	src, err := day.Source("stops")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := Play(t, Job{Source: src, Seed: 1, Defect: "stalls-not-seen"})
+	if r.Error != "" {
+		t.Fatal(r.Error)
+	}
+	if len(r.Report.Rules[0].Broken) == 0 {
+		t.Error("rule 1 was not found broken")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"yardcleat.example/yardcleat/authz"
-	"yardcleat.example/yardcleat/authz/client"
 	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/fleet"
 	"yardcleat.example/yardcleat/front/extauthz"
@@ -30,6 +29,7 @@
 	"yardcleat.example/yardcleat/stall"
 	"yardcleat.example/yardcleat/store"
 	"yardcleat.example/yardcleat/upstream"
+	ask "yardcleat.example/yardcleat/upstream/extauthz"
 )
 
 // Options is what a Gateway takes beside its configuration.
@@ -96,7 +96,7 @@
 	g.closes = append(g.closes, pool.Close)
 	opt.Upstream = pool
 	if a := cfg.Authoriser; a != nil {
-		c, err := client.Dial(o.Network, a.Addresses, client.Rules{Body: a.Body, Allowed: a.Allowed, Disallowed: a.Forbidden})
+		c, err := ask.Dial(o.Network, a.Addresses, ask.Rules{Body: a.Body, Allowed: a.Allowed, Disallowed: a.Forbidden})
 		if err != nil {
 			return g, fmt.Errorf("authoriser: %w", err)
 		}
--- a/lab/hunt/shrink.go
+++ b/lab/hunt/shrink.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"yardcleat.example/yardcleat/day"
@@ -55,8 +56,9 @@
 		out = append(out, c)
 	}
 	if d.Script.Nodes > 2 {
-		change(func(s *day.Script) { s.Nodes = max(2, s.Nodes/2) })
-		change(func(s *day.Script) { s.Nodes-- })
+		for _, n := range []int{max(2, d.Script.Nodes/2), d.Script.Nodes - 1} {
+			change(func(s *day.Script) { fewer(s, n) })
+		}
 	}
 	length, _ := time.ParseDuration(d.Script.Length)
 	var last time.Duration
@@ -76,6 +78,25 @@
 	return out
 }
 
+// fewer makes a fleet smaller; what was aimed at nodes that are no more is aimed at
+// others.
+func fewer(s *day.Script, nodes int) {
+	s.Nodes = nodes
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		if day.TargetOf(f.Kind) != "node" {
+			continue
+		}
+		f.Target %= nodes
+		if to, err := strconv.Atoi(f.Arg); err == nil && f.Kind == "peers-cut" {
+			if to %= nodes; to == f.Target {
+				to = (to + 1) % nodes
+			}
+			f.Arg = strconv.Itoa(to)
+		}
+	}
+}
+
 // Next is a smaller day to try; false where there is none left, or the plays are
 // used up.
 func (s *Shrinker) Next() (Day, bool) {
--- a/authz/client/client.go
+++ b/upstream/extauthz/client.go
@@ -1,6 +1,6 @@
-// Package client asks an external authorisation service over gRPC (Envoy's
+// Package extauthz asks an external authorisation service over gRPC (Envoy's
 // ext_authz v3, envoy.service.auth.v3.Authorization/Check).
-package client
+package extauthz
 
 import (
 	"context"
