The module takes a new number of gateways by an event, not by a restart

Need: fleets grow, shrink and are moved; the module was told their size at its start, so each change needed every node restarted.

Fleet{Gateways, Was}: counts, held requests and views carry over, customers are placed anew, roots and watchers move. Until all have heard, the part of a ceiling held is the smaller of the old and the new, so that the parts never sum to more than the whole, whoever has heard.

--- a/policy/api.go
+++ b/policy/api.go
@@ -194,6 +194,11 @@
 	Units    float64
 }
 
+// Fleet tells that the number of gateways has changed from Was, or, where Was is
+// 0, that all have heard of the last change: from then on the new parts of
+// ceilings hold. A gateway whose number is not below Gateways is leaving.
+type Fleet struct{ Gateways, Was int }
+
 // Action is something a gateway wants done.
 type Action interface{ action() }
 
@@ -266,6 +271,7 @@
 func (PeerMessage) event() {}
 func (Members) event()     {}
 func (Level) event()       {}
+func (Fleet) event()       {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,162 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func fleetOf(t *testing.T, me, n int, mail float64) *Gateway {
+	t.Helper()
+	g, err := New(Settings{Me: me, Gateways: n, Resolution: time.Millisecond, MaxAttempts: 2, CanCancel: true, CanTell: true,
+		MailPerSecond: mail, LargestUnits: 1, Plans: []Plan{{Name: "p", Rate: 5, Burst: 10, HardRate: 10, HardBurst: 20}},
+		Classes: []Class{{Name: "lookup", Aim: 800 * time.Millisecond, Deadline: 3 * time.Second}}}, uint64(me)+1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Handle(0, Members{Kind: Whole, Servers: []Server{{ID: 1, Weight: 1}, {ID: 2, Weight: 1}}}, nil)
+	return g
+}
+
+// holds is the part of the ceiling of a customer that a gateway may grant.
+func holds(g *Gateway, c *customer) float64 {
+	if g.was.gateways > 0 {
+		return 1 / c.n
+	}
+	return 1 / g.part(c, size{g.set.Gateways, g.tree})
+}
+
+// A fleet changes its size, over the border between reports from all to all and
+// roots or not, again and again; each gateway hears of it at its own time. At no
+// moment do the parts of any ceiling sum to more than the whole, and once all have
+// heard they sum to it again, but for the deputy's where there is none.
+func TestPartsOfCeilings(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		mail := []float64{20, 200}[rng.IntN(2)] // with 20, fleets of 9 have roots
+		n := 1 + rng.IntN(14)
+		all := map[int]*Gateway{}
+		names := []string{"a", "b", "c", "d", "e", "f"}
+		spreads := map[string][2]int{}
+		for _, name := range names {
+			spreads[name] = [2]int{rng.IntN(6), 1 + rng.IntN(16)}
+		}
+		enter := func(g *Gateway, name string) *customer {
+			if c := g.customers[keyOf(name)]; c != nil {
+				return c
+			}
+			return g.account(keyOf(name), g.plans["p"], spreads[name][0], spreads[name][1])
+		}
+		sums := func(want bool, what string) {
+			t.Helper()
+			for _, name := range names {
+				sum := 0.0
+				for _, g := range all {
+					sum += holds(g, enter(g, name))
+				}
+				// A customer of one gateway has no deputy: that part is nobody's.
+				if sum > 1+1e-9 || want && sum < 1-deputyPart-1e-9 {
+					t.Fatalf("seed %d, %s: the parts of %s sum to %v", seed, what, name, sum)
+				}
+			}
+		}
+		for i := range n {
+			all[i] = fleetOf(t, i, n, mail)
+		}
+		sums(true, "at first")
+		for change := range 5 {
+			to := 1 + rng.IntN(14)
+			for i := n; i < to; i++ { // those that join start in the middle of the change
+				all[i] = fleetOf(t, i, to, mail)
+				all[i].Handle(0, Fleet{Gateways: to, Was: n}, nil)
+			}
+			for _, i := range rng.Perm(n) {
+				all[i].Handle(time.Second, Fleet{Gateways: to, Was: n}, nil)
+				sums(false, fmt.Sprint("change ", change, " from ", n, " to ", to, ", hearing"))
+			}
+			for i := to; i < n; i++ {
+				delete(all, i)
+			}
+			for _, i := range rng.Perm(to) {
+				all[i].Handle(2*time.Second, Fleet{Gateways: to}, nil)
+				sums(false, fmt.Sprint("change ", change, ", over at some"))
+			}
+			sums(true, fmt.Sprint("change ", change, " over"))
+			n = to
+		}
+	}
+}
+
+// What a gateway knew carries over a change; requests that are held or asked for
+// are answered all the same.
+func TestFleetChanges(t *testing.T) {
+	g := fleetOf(t, 0, 3, 200)
+	id := RequestID(0)
+	ask := func(now time.Duration) (sent, refused int) {
+		id++
+		for _, a := range g.Handle(now, Request{ID: id, Customer: "c", Plan: "p", Class: "lookup", Units: 1, Remaining: 2 * time.Second,
+			First: 0, Spread: 3}, nil) {
+			switch a.(type) {
+			case Send:
+				sent++
+			case Refuse:
+				refused++
+			}
+		}
+		return sent, refused
+	}
+	passed := 0
+	for i := range 10 {
+		s, _ := ask(10*time.Second + time.Duration(i)*time.Millisecond)
+		passed += s
+	}
+	c := g.customers[keyOf("c")]
+	store := c.store
+	g.Handle(10*time.Second+20*time.Millisecond, Fleet{Gateways: 4, Was: 3}, nil)
+	if c.store < store || c.store > store+1 || c.passed != uint16(passed) || len(c.set) != 2 {
+		t.Errorf("store %v, was %v; passed %d of %d; %d views", c.store, store, c.passed, passed, len(c.set))
+	}
+	if c.n != 3 {
+		t.Errorf("part 1/%v", c.n)
+	}
+	// Into a fleet with roots and back, with requests out at roots: each ends.
+	owed := map[RequestID]bool{}
+	now := 11 * time.Second
+	carry := func(acts []Action) {
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Send:
+				delete(owed, a.ID)
+				g.Handle(now, Outcome{ID: a.ID, Server: a.Server, Code: OK, Latency: time.Millisecond, Over: true}, nil)
+			case Refuse:
+				delete(owed, a.ID)
+			case Fail:
+				delete(owed, a.ID)
+			}
+		}
+	}
+	for _, n := range []int{400, 4, 400, 1, 4} {
+		for range 20 {
+			id++
+			owed[id] = true
+			now += 5 * time.Millisecond
+			carry(g.Handle(now, Request{ID: id, Customer: fmt.Sprint("c", id%7), Plan: "p", Class: "lookup", Units: 1,
+				Remaining: 2 * time.Second, First: 2, Spread: 8}, nil))
+		}
+		carry(g.Handle(now, Fleet{Gateways: n, Was: g.set.Gateways}, nil))
+		for range 100 {
+			now += 25 * time.Millisecond
+			carry(g.Handle(now, Timer{Token: "tick"}, nil))
+			carry(g.Handle(now, Timer{Token: "ask"}, nil))
+		}
+		carry(g.Handle(now, Fleet{Gateways: n}, nil))
+		if len(owed) > 0 {
+			t.Fatalf("at %d gateways: %d requests without an answer", n, len(owed))
+		}
+	}
+	if math.IsInf(c.n, 1) || c.n <= 0 {
+		t.Errorf("part 1/%v", c.n)
+	}
+}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -42,6 +42,10 @@
 		g.onMembers(ev)
 	case Level:
 		g.onLevel(ev)
+	case Fleet:
+		if ev.Gateways > 0 {
+			g.onFleet(ev)
+		}
 	}
 	out, g.acts = g.acts, nil
 	return out
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -183,7 +183,7 @@
 // askOf makes the message that asks for a request.
 func (g *Gateway) askOf(r *request) ask {
 	c, left := r.c, (r.deadline - g.now).Milliseconds()
-	m := ask{Customer: c.key, First: uint16(c.first), Spread: uint16(c.spread), Plan: c.plan.no,
+	m := ask{Customer: c.key, First: uint16(c.first), Spread: uint16(min(c.nodes, 65535)), Plan: c.plan.no,
 		Class: byte(r.cl.no), Units: uint16(r.units), Left: uint16(min(max(0, left), math.MaxUint16)),
 		Tag: r.tag, Repeat: r.repeat, Fill: unknownStore, Thin: small(250 * r.asks)}
 	if c.told > 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -100,18 +100,62 @@
 		c.mean = c.Aim.Seconds() / firstGuess
 		g.mean, g.minAim = max(g.mean, c.mean), min(g.minAim, c.Aim.Seconds())
 	}
-	mail := max(s.MailPerSecond*mailShare, 1)
-	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
-	g.own, g.gate, g.heard = learn, 1, 1
-	if g.tree = g.tick > treeBeyond*maxTick && s.CanTell; g.tree {
-		g.own = 0 // what the watchers tell is more than what this gateway sees
-	}
+	g.gate, g.heard = 1, 1
 	g.nextTag, g.reply = g.rng.Uint32(), leastReply
-	if !g.tree {
+	g.fit()
+	return g, nil
+}
+
+// fit sets what follows from how many gateways there are.
+func (g *Gateway) fit() {
+	mail := max(g.set.MailPerSecond*mailShare, 1)
+	g.tick = time.Duration(float64(max(g.set.Gateways-1, 1)) / mail * float64(time.Second))
+	g.own = learn
+	if g.tree = g.tick > treeBeyond*maxTick && g.set.CanTell; g.tree {
+		g.own = 0 // what the watchers tell is more than what this gateway sees
+	} else {
 		g.allPeers()
 	}
-	g.tick = max(min(max(g.tick, minTick), maxTick), s.Resolution)
-	return g, nil
+	g.tick = max(min(max(g.tick, minTick), maxTick), g.set.Resolution)
+}
+
+// onFleet takes a new number of gateways. Counts carry over; parts of ceilings are
+// the smaller of the old and the new until all are known to have heard: who has
+// not holds its old part, and the old parts sum to the whole, as the new ones do.
+func (g *Gateway) onFleet(ev Fleet) {
+	old := size{g.set.Gateways, g.tree}
+	if ev.Was > 0 && g.was.gateways == 0 {
+		if g.was = old; ev.Was != old.gateways { // it starts in the middle of the change
+			g.was.gateways = ev.Was
+			g.was.tree = g.treeAt(ev.Was)
+		}
+	} else if ev.Was == 0 {
+		g.was = size{}
+	}
+	g.resize(ev.Gateways)
+	for _, c := range g.ring {
+		g.advance(c)
+		g.place(c)
+		c.ceiling = min(c.ceiling, c.plan.HardBurst/c.n)
+	}
+}
+
+// part is one over the part of a customer's ceiling that this gateway may hold in a
+// fleet of a size: infinite where it is neither root nor deputy.
+func (g *Gateway) part(c *customer, z size) float64 {
+	now, spread := size{g.set.Gateways, g.tree}, c.spread
+	g.set.Gateways, g.tree, c.spread = z.gateways, z.tree, max(1, min(c.nodes, z.gateways))
+	roots, deputy := g.roots(c)
+	g.set.Gateways, g.tree, c.spread = now.gateways, now.tree, spread
+	switch n := float64(len(roots)); {
+	case slices.Contains(roots, g.set.Me) && z.tree:
+		return n / (1 - deputyPart)
+	case slices.Contains(roots, g.set.Me):
+		return n
+	case z.tree && deputy == g.set.Me:
+		return 1 / deputyPart
+	}
+	return math.Inf(1)
 }
 
 // Customers, their stores and their room.
@@ -119,13 +163,29 @@
 // account starts a customer's counts. Those who sum them come first: in a
 // small fleet all its gateways, in a large one its roots. The others ask.
 func (g *Gateway) account(key uint64, plan *quota, first, spread int) *customer {
-	spread = max(1, min(spread, g.set.Gateways))
-	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), store: plan.Burst,
-		part: 1, leases: map[lease]leased{}, first: first, spread: spread, at: g.now, areaAt: g.now}
+	c := &customer{key: key, hash: shortOf(key), plan: plan, store: plan.Burst,
+		part: 1, leases: map[lease]leased{}, first: first, nodes: spread, at: g.now, areaAt: g.now}
+	g.place(c)
+	// A restarted root knows nothing: it must not grant a whole store again.
+	if g.tree && plan.Rate > 0 && (g.now-g.start).Seconds() < plan.Burst/plan.Rate {
+		c.store *= freshFill
+	}
+	// The ceiling's own part starts empty at the gateway's start: after a
+	// restart it must not be granted a second time.
+	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
+	g.enter(c)
+	return c
+}
+
+// place says who sums a customer's counts, and what part of its ceiling is held
+// here.
+func (g *Gateway) place(c *customer) {
+	c.spread = max(1, min(c.nodes, g.set.Gateways))
 	roots, deputy := g.roots(c)
+	c.n, c.ask = float64(c.spread), nil
 	if slices.Contains(roots, g.set.Me) || !g.tree {
 		g.views(c, roots)
-	} else if plan.Rate > 0 || plan.Open > 0 {
+	} else if c.plan.Rate > 0 || c.plan.Open > 0 {
 		c.ask = []int{roots[g.set.Me%len(roots)], deputy}
 	}
 	if g.tree {
@@ -135,15 +195,9 @@
 			c.n = 1 / deputyPart
 		}
 	}
-	// A restarted root knows nothing: it must not grant a whole store again.
-	if g.tree && plan.Rate > 0 && (g.now-g.start).Seconds() < plan.Burst/plan.Rate {
-		c.store *= freshFill
+	if g.was.gateways > 0 {
+		c.n = max(g.part(c, g.was), g.part(c, size{g.set.Gateways, g.tree}))
 	}
-	// The ceiling's own part starts empty at the gateway's start: after a
-	// restart it must not be granted a second time.
-	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
-	g.enter(c)
-	return c
 }
 
 // roots are the gateways that sum a customer's counts: as few as can take in
@@ -769,6 +823,11 @@
 // their quotas.
 func (g *Gateway) ask(r *request) {
 	c := r.c
+	if len(c.ask) == 0 { // its counts have moved here
+		delete(g.asks, r.tag)
+		g.admit(r)
+		return
+	}
 	if delete(g.asks, r.tag); r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline {
 		// Where much of the mail is lost the roots are flooded: few may pass unheard.
 		pass := math.Pow(g.heard, unheardPower)
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,6 +13,7 @@
 	plan   *quota
 	first  int // its gateways: spread of them, counted round from first
 	spread int
+	nodes  int     // as asked for, whatever the number of gateways
 	ask    []int   // the gateways that sum its counts, where this one does not
 	part   float64 // of what is asked for fits, as its root said
 	partAt time.Duration
@@ -202,6 +203,41 @@
 	asking    []*request // in the order asked, answered ones too
 	nextTag   uint32
 	reply     time.Duration // mean time to an answer
+	was       size          // of the fleet, until all have heard that it changed
+}
+
+// size is what follows from a number of gateways.
+type size struct {
+	gateways int
+	tree     bool
+}
+
+// resize makes room for a number of gateways, and forgets those beyond.
+func (g *Gateway) resize(n int) {
+	g.set.Gateways = n
+	peers := make([]*peer, max(n, g.set.Me+1))
+	copy(peers, g.peers)
+	g.peers = peers
+	for _, p := range g.peers {
+		if p != nil {
+			p.views = nil
+		}
+	}
+	g.fit()
+	for _, s := range g.fleet {
+		s.watchers = g.watchers(uint32(s.ID) * 0x9e3779b1 >> (32 - serverBits))
+	}
+}
+
+// treeAt tells whether a fleet of a size reports by roots.
+func (g *Gateway) treeAt(n int) bool {
+	now := g.set.Gateways
+	g.set.Gateways = n
+	g.fit()
+	tree := g.tree
+	g.set.Gateways = now
+	g.fit()
+	return tree
 }
 
 func (g *Gateway) do(a Action) { g.acts = append(g.acts, a) }
@@ -303,9 +339,14 @@
 
 // views makes room for what each of the others says of a customer.
 func (g *Gateway) views(c *customer, others []int) {
+	old := c.set
+	c.set = nil
 	for _, num := range others {
 		if num != g.set.Me {
 			v := &peerView{p: g.peer(num)}
+			if i := slices.IndexFunc(old, func(o *peerView) bool { return o.p == v.p }); i >= 0 {
+				v = old[i]
+			}
 			c.set, v.p.views = append(c.set, v), append(v.p.views, v)
 		}
 	}
