--- a/policy/api.go
+++ b/policy/api.go
@@ -196,7 +196,8 @@
 
 // Fleet tells that the number of gateways has changed from Was, or, where Was is
 // 0, that all have heard of the last change: from then on the new parts of
-// ceilings hold. A gateway whose number is not below Gateways is leaving.
+// ceilings hold. Below 0 it held no part before, or can't know. A gateway whose
+// number is not below Gateways is leaving.
 type Fleet struct{ Gateways, Was int }
 
 // Action is something a gateway wants done.
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -22,7 +22,7 @@
 
 // holds is the part of the ceiling of a customer that a gateway may grant.
 func holds(g *Gateway, c *customer) float64 {
-	if g.was.gateways > 0 {
+	if g.was.gateways != 0 {
 		return 1 / c.n
 	}
 	return 1 / g.part(c, size{g.set.Gateways, g.tree})
@@ -70,7 +70,7 @@
 			to := 1 + rng.IntN(14)
 			for i := n; i < to; i++ { // those that join start in the middle of the change
 				all[i] = fleetOf(t, i, to, mail)
-				all[i].Handle(0, Fleet{Gateways: to, Was: n}, nil)
+				all[i].Handle(0, Fleet{Gateways: to, Was: []int{n, -1}[rng.IntN(2)]}, nil)
 			}
 			for _, i := range rng.Perm(n) {
 				all[i].Handle(time.Second, Fleet{Gateways: to, Was: n}, nil)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -123,14 +123,10 @@
 // the smaller of the old and the new until all are known to have heard: who has
 // not holds its old part, and the old parts sum to the whole, as the new ones do.
 func (g *Gateway) onFleet(ev Fleet) {
-	old := size{g.set.Gateways, g.tree}
-	if ev.Was > 0 && g.was.gateways == 0 {
-		if g.was = old; ev.Was != old.gateways { // it starts in the middle of the change
-			g.was.gateways = ev.Was
-			g.was.tree = g.treeAt(ev.Was)
-		}
-	} else if ev.Was == 0 {
+	if ev.Was == 0 {
 		g.was = size{}
+	} else if g.was.gateways == 0 {
+		g.was = size{ev.Was, g.treeAt(ev.Was)}
 	}
 	g.resize(ev.Gateways)
 	for _, c := range g.ring {
@@ -143,6 +139,9 @@
 // part is one over the part of a customer's ceiling that this gateway may hold in a
 // fleet of a size: infinite where it is neither root nor deputy.
 func (g *Gateway) part(c *customer, z size) float64 {
+	if z.gateways < 0 {
+		return math.Inf(1)
+	}
 	now, spread := size{g.set.Gateways, g.tree}, c.spread
 	g.set.Gateways, g.tree, c.spread = z.gateways, z.tree, max(1, min(c.nodes, z.gateways))
 	roots, deputy := g.roots(c)
@@ -195,7 +194,7 @@
 			c.n = 1 / deputyPart
 		}
 	}
-	if g.was.gateways > 0 {
+	if g.was.gateways != 0 {
 		c.n = max(g.part(c, g.was), g.part(c, size{g.set.Gateways, g.tree}))
 	}
 }
