--- a/member/member_test.go
+++ b/member/member_test.go
@@ -430,3 +430,71 @@
 		t.Error("ready though it is in no roster")
 	}
 }
+
+// A fleet of two grows to four and shrinks again. The two of the beginning take the
+// second change before the first is over for them, or never read the first: what they
+// hold must fit beside the parts that the others got by the first.
+func TestTwoChanges(t *testing.T) {
+	for _, missed := range []bool{false, true} {
+		rapid.Check(t, func(rt *rapid.T) {
+			w := &world{t: rt, now: epoch0, machines: map[string]*machine{}}
+			list := nodes("a", "b", "c", "d")
+			w.roster = Roster{Epoch: 1, Nodes: list[:2]}
+			for _, n := range list {
+				w.machines[n.Name] = &machine{name: n.Name, file: w.roster}
+			}
+			read := func(names ...string) {
+				for _, name := range names {
+					a := w.machines[name]
+					if a.file = w.roster; a.p == nil {
+						w.start(a)
+					}
+					w.carry(a, a.p.m.Read(w.now, a.file))
+				}
+				w.check()
+			}
+			// Words reach those named alone.
+			mail := func(names ...string) {
+				w.tick()
+				for i, l := range w.mail {
+					if a := w.at(l.to); a != nil && slices.Contains(names, a.name) {
+						w.deliver(i)
+						w.check()
+					}
+				}
+				w.mail = nil
+			}
+			read("a", "b")
+			second, err := w.roster.Next(list, nil)
+			if err != nil {
+				rt.Fatal(err)
+			}
+			w.roster = second
+			if read("c", "d"); !missed {
+				read("a", "b")
+				for range 3 {
+					mail("c", "d") // for them the change is over
+				}
+			}
+			third, err := second.Next(list[:2], nil)
+			if err != nil {
+				rt.Fatal(err)
+			}
+			w.roster = third
+			read("a", "b")
+			for range 3 {
+				mail("c", "d")
+			}
+			if w.machines["c"].holds() == 0 {
+				rt.Fatal("the test does not get where it means to")
+			}
+			read("c", "d")
+			for range 6 {
+				mail("a", "b", "c", "d")
+			}
+			if sum := w.machines["a"].holds() + w.machines["b"].holds(); sum < 1-1e-9 {
+				rt.Fatalf("once all have heard the parts sum to %v", sum)
+			}
+		})
+	}
+}
