Fleets by roster: nodes join, leave and are replaced without a restart

Need: each change of a fleet needed every node restarted.

peers { roster = FILE }: the file is looked at four times a second; member decides, the module resizes, addresses and the tally's shares follow, the epoch taken is on the disk before a peer hears of it. yardcleat roster next and check make and check the file; a draining node says so to its peers and says goodbye.

--- a/cmd/yardcleat/main.go
+++ b/cmd/yardcleat/main.go
@@ -23,7 +23,7 @@
 func main() {
 	root := &cobra.Command{Use: "yardcleat", Short: "An API gateway that keeps quotas across a fleet",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serveCommand(), checkCommand(), dayCommand(), labCommand(), standinCommand())
+	root.AddCommand(serveCommand(), checkCommand(), dayCommand(), labCommand(), rosterCommand(), standinCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "yardcleat:", err)
 		os.Exit(1)
--- a/config/config.go
+++ b/config/config.go
@@ -6,12 +6,14 @@
 	"log/slog"
 	"time"
 
+	"yardcleat.example/yardcleat/member"
 	"yardcleat.example/yardcleat/policy"
 )
 
 // Config is a checked configuration.
 type Config struct {
 	Number   int    // this node's, from 0
+	Name     string // by which the roster knows it; "" without one
 	Zone     string // the room it stands in
 	StateDir string // where it remembers things across restarts; "": nowhere
 
@@ -24,6 +26,7 @@
 	Plans      []policy.Plan
 	Customers  []Customer
 	Peers      Peers
+	Roster     *member.Roster // as it was at the start; nil: the fleet is what Peers says
 	Servers    Servers
 	Authoriser *Authoriser
 	Counter    *Counter
@@ -93,6 +96,7 @@
 
 // Peers says how the nodes of a fleet reach each other.
 type Peers struct {
+	RosterFile    string // read again when it changes; "": the addresses below are all
 	Listen        string
 	Addresses     map[int]string // by number, this node's left out
 	Keys          [][]byte       // of 32 bytes; the first seals, all open
@@ -171,7 +175,7 @@
 	s := policy.Settings{
 		Me: c.Number, Gateways: len(c.Peers.Addresses) + 1, Zone: c.Zone, Plans: c.Plans,
 		Resolution: time.Millisecond, MaxAttempts: c.Limits.MaxAttempts, CanCancel: true,
-		CanTell: len(c.Peers.Addresses) > 0, MailPerSecond: c.Peers.MailPerSecond,
+		CanTell: len(c.Peers.Addresses) > 0 || c.Roster != nil, MailPerSecond: c.Peers.MailPerSecond,
 		MaxRetryAfter: c.Clients.MaxRetryAfter, SizeKnown: true,
 		ColdShare: c.Servers.ColdShare, WarmWithin: c.Servers.WarmWithin,
 		FallMultiple: c.Servers.FallMultiple, FallTime: c.Servers.FallTime,
--- a/config/load.go
+++ b/config/load.go
@@ -22,6 +22,7 @@
 	"github.com/zclconf/go-cty/cty"
 	"github.com/zclconf/go-cty/cty/convert"
 
+	"yardcleat.example/yardcleat/member"
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -44,6 +45,7 @@
 	}
 	nodeBlock struct {
 		Number   hcl.Expression `hcl:"number,optional"`
+		Name     hcl.Expression `hcl:"name,optional"`
 		Zone     hcl.Expression `hcl:"zone,optional"`
 		StateDir hcl.Expression `hcl:"state_dir,optional"`
 	}
@@ -106,6 +108,7 @@
 		Listen        hcl.Expression `hcl:"listen"`
 		Key           hcl.Expression `hcl:"key,optional"`
 		KeyFile       hcl.Expression `hcl:"key_file,optional"`
+		Roster        hcl.Expression `hcl:"roster,optional"`
 		MailPerSecond hcl.Expression `hcl:"mail_per_second,optional"`
 		Freshness     hcl.Expression `hcl:"freshness,optional"`
 		Peers         []peerBlock    `hcl:"peer,block"`
@@ -385,6 +388,7 @@
 		n = &nodeBlock{}
 	}
 	l.cfg.Number = l.whole0(n.Number, 0, 0, 65535)
+	l.cfg.Name = l.text(n.Name, "")
 	l.cfg.Zone, l.cfg.StateDir = l.text(n.Zone, ""), l.text(n.StateDir, "")
 	g := in.Log
 	if g == nil {
@@ -533,12 +537,15 @@
 }
 
 func (l *loader) customers(in []customerBlock) {
-	gateways := len(l.cfg.Peers.Addresses) + 1
+	most := len(l.cfg.Peers.Addresses) + 1
+	if l.cfg.Roster != nil {
+		most = 65535 // the fleet may grow
+	}
 	names, keys := map[string]hcl.Range{}, map[string]hcl.Range{}
 	for _, b := range in {
 		l.unique(names, "customer", b.Name, b.NameRange)
 		c := Customer{Name: b.Name, Plan: l.name(b.Plan, ""),
-			First: l.whole0(b.First, 0, 0, gateways-1), Nodes: l.whole0(b.Nodes, gateways, 1, gateways)}
+			First: l.whole0(b.First, 0, 0, most-1), Nodes: l.whole0(b.Nodes, most, 1, most)}
 		if c.Plan != "" && !slices.ContainsFunc(l.cfg.Plans, func(p policy.Plan) bool { return p.Name == c.Plan }) {
 			var all []string
 			for _, p := range l.cfg.Plans {
@@ -573,6 +580,10 @@
 	p.MailPerSecond = l.number(in.MailPerSecond, 60, 1, 1e6)
 	p.Freshness = l.duration(in.Freshness, 10*time.Second, 100*time.Millisecond, time.Hour)
 	p.Keys = l.keys(in)
+	if path := l.text(in.Roster, ""); path != "" {
+		l.roster(in, path)
+		return
+	}
 	for _, b := range in.Peers {
 		n, err := strconv.Atoi(b.Number)
 		switch {
@@ -600,6 +611,30 @@
 	}
 }
 
+// roster takes the fleet from a roster's file.
+func (l *loader) roster(in *peersBlock, path string) {
+	if len(in.Peers) > 0 {
+		l.wrong(in.DefRange, "Roster and peers", "Give either a roster or peer blocks.")
+	}
+	r, err := LoadRoster(path)
+	if err != nil {
+		l.wrong(in.Roster.Range(), "Roster not usable", "%v", err)
+		return
+	}
+	l.cfg.Number = slices.IndexFunc(r.Nodes, func(n member.Node) bool { return n.Name == l.cfg.Name })
+	if l.cfg.Number < 0 {
+		l.wrong(in.Roster.Range(), "Not in the roster", "The roster of epoch %d has no node %q; it is known by name in the block node.",
+			r.Epoch, l.cfg.Name)
+		l.cfg.Number = 0
+	}
+	l.cfg.Roster, l.cfg.Peers.RosterFile = r, path
+	for i, n := range r.Nodes {
+		if i != l.cfg.Number {
+			l.cfg.Peers.Addresses[i] = n.Address
+		}
+	}
+}
+
 const keySize = 32
 
 func (l *loader) keys(in *peersBlock) [][]byte {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/internal/pulse"
+	"yardcleat.example/yardcleat/member"
 	"yardcleat.example/yardcleat/node"
 	"yardcleat.example/yardcleat/peer"
 	"yardcleat.example/yardcleat/policy"
@@ -53,6 +54,8 @@
 	cfg     *config.Config
 	o       Options
 	node    *node.Node
+	led     *ledger // nil: no counter
+	keep    *keeper // nil: no roster
 	serving sync.WaitGroup
 	closes  []func() // in reverse order
 	fronts  []front
@@ -116,11 +119,16 @@
 		default:
 			return
 		}
-		if led == nil || !led.heard(from, data) {
+		if (led == nil || !led.heard(from, data)) && (g.keep == nil || !g.keep.heard(from, data)) {
 			g.node.Peer(from, data)
 		}
 	}
-	if len(cfg.Peers.Addresses) > 0 {
+	if cfg.Roster != nil {
+		if g.keep, err = g.newKeeper(); err != nil {
+			return g, err
+		}
+	}
+	if len(cfg.Peers.Addresses) > 0 || cfg.Roster != nil {
 		p := cfg.Peers
 		mail, err := peer.Listen(peer.Options{Network: o.Network, Listen: p.Listen, Addresses: p.Addresses, Me: cfg.Number,
 			Keys: peer.NewKeyring(p.Keys, p.KeyFile, o.Log), Incarnation: inc, Freshness: p.Freshness, Rate: p.MailPerSecond, Log: o.Log, Wall: o.Wall,
@@ -129,6 +137,9 @@
 			return g, err
 		}
 		opt.Tell = mail.Tell
+		if g.keep != nil {
+			g.keep.mail = mail
+		}
 		g.closes = append(g.closes, mail.Close)
 	}
 	var db *store.Store
@@ -137,7 +148,7 @@
 		return g, err
 	}
 	if led != nil {
-		opt.Ledger = led
+		opt.Ledger, g.led = led, led
 	}
 	if g.node, err = node.New(opt); err != nil {
 		return g, err
@@ -148,6 +159,10 @@
 		ctx, cancel := context.WithCancel(ctx)
 		g.start(ctx, cancel, func(ctx context.Context) { led.run(ctx, db) })
 	}
+	if g.keep != nil {
+		ctx, cancel := context.WithCancel(ctx)
+		g.start(ctx, cancel, g.keep.run)
+	}
 	if err := g.servers(ctx); err != nil {
 		return g, err
 	}
@@ -157,6 +172,7 @@
 			return g, fmt.Errorf("listener %q: %w", l.Name, err)
 		}
 	}
+	g.phase((*member.Member).Serve)
 	return g, nil
 }
 
@@ -203,6 +219,7 @@
 		list = g.o.Deafen(list)
 	}
 	g.node.Members(kind, list)
+	g.phase((*member.Member).Listed)
 }
 
 func (g *Gateway) limits(body int64) http1.Limits {
@@ -293,6 +310,7 @@
 // Drain stops in order: no new connections, what is held ends, the rest is
 // closed. When the context ends first, what is left is failed.
 func (g *Gateway) Drain(ctx context.Context) error {
+	g.phase((*member.Member).Drain)
 	for _, f := range g.fronts {
 		f.l.Close()
 	}
@@ -302,10 +320,20 @@
 	}
 	err := g.node.Drain(ctx)
 	drained.Wait()
+	if g.keep != nil && !g.killed.Load() {
+		g.keep.end()
+	}
 	g.close()
 	return err
 }
 
+// phase tells the member of a step in this node's life.
+func (g *Gateway) phase(step func(*member.Member) []member.Action) {
+	if g.keep != nil && !g.killed.Load() {
+		g.keep.post(func() []member.Action { return step(g.keep.m) })
+	}
+}
+
 // Stall holds the node's loop up for a time; for tests.
 func (g *Gateway) Stall(d time.Duration) { g.node.Stall(d) }
 
--- /dev/null
+++ b/gateway/member.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/member"
+	"yardcleat.example/yardcleat/peer"
+)
+
+const (
+	memberMark  = 'M' // first byte of its messages; see tallyMark
+	memberSize  = 1 + 1 + 1 + 8
+	memberTick  = 250 * time.Millisecond
+	memberQueue = 256
+)
+
+// keeper runs a Member in a goroutine of its own and carries out what it says, in
+// order: what the disk must remember is there before the module or a peer hears of
+// what follows.
+type keeper struct {
+	g     *Gateway
+	m     *member.Member
+	mail  *peer.Mail
+	do    chan func() []member.Action
+	stamp string // of the roster's file as last read
+}
+
+// newKeeper returns a keeper of a fleet by roster.
+func (g *Gateway) newKeeper() (*keeper, error) {
+	mem, err := recallMember(g.cfg.StateDir)
+	if err != nil {
+		g.o.Log.Warn("what was remembered of the roster is left aside; this node holds no part of ceilings until a change is over",
+			"error", err)
+	}
+	return &keeper{g: g, m: member.New(member.Settings{Name: g.cfg.Name, Memory: mem}),
+		do: make(chan func() []member.Action, memberQueue)}, nil
+}
+
+// run keeps the member until the context ends.
+func (k *keeper) run(ctx context.Context) {
+	k.carry(k.m.Read(time.Now(), *k.g.cfg.Roster))
+	tick := time.NewTicker(memberTick)
+	defer tick.Stop()
+	for {
+		select {
+		case f := <-k.do:
+			k.carry(f())
+		case <-tick.C:
+			k.look()
+			k.carry(k.m.Tick(time.Now()))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// post has the member told of something; it may be lost where too much waits, as a
+// message may.
+func (k *keeper) post(f func() []member.Action) {
+	select {
+	case k.do <- f:
+	default:
+	}
+}
+
+// end says that nothing is to be expected of this node any more, and waits until
+// that is on its way.
+func (k *keeper) end() {
+	const moment = time.Second
+	said := make(chan struct{})
+	k.post(func() []member.Action {
+		defer close(said)
+		return k.m.End()
+	})
+	select {
+	case <-said:
+		time.Sleep(20 * time.Millisecond) // the letters leave by another goroutine
+	case <-time.After(moment):
+	}
+}
+
+// look reads the roster's file again where it has changed.
+func (k *keeper) look() {
+	path := k.g.cfg.Peers.RosterFile
+	st, err := os.Stat(path)
+	if err != nil {
+		return // it is being replaced, or is gone: what was taken stays
+	}
+	stamp := fmt.Sprint(st.ModTime().UnixNano(), " ", st.Size())
+	if stamp == k.stamp {
+		return
+	}
+	k.stamp = stamp
+	r, err := config.LoadRoster(path)
+	if err != nil {
+		k.g.o.Log.Error("the roster can't be used; the last one is kept", "error", err)
+		return
+	}
+	k.carry(k.m.Read(time.Now(), *r))
+}
+
+func (k *keeper) carry(acts []member.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case member.Remember:
+			if err := rememberMember(k.g.cfg.StateDir, a.Memory); err != nil {
+				k.g.o.Log.Error("the roster's epoch can't be remembered; after a restart this node holds no part of ceilings at first",
+					"error", err)
+			}
+		case member.Fleet:
+			taken := make(chan struct{})
+			k.g.node.Do(func() {
+				k.g.node.Resize(a.Gateways, a.Was)
+				if k.g.led != nil {
+					k.g.led.resize(a.Gateways)
+				}
+				close(taken)
+			})
+			select {
+			case <-taken: // peers are told only after the module has it
+			case <-time.After(5 * time.Second):
+				return // the node ends
+			}
+		case member.Address:
+			if a.Number != k.m.Number() {
+				k.mail.Reach(a.Number, a.Address)
+			}
+		case member.Tell:
+			k.mail.Tell(a.To, encodeHello(a.Hello))
+		case member.Changed:
+			k.g.o.Log.Info("this node is "+a.Phase.String(), "from", "member")
+		case member.Note:
+			log := k.g.o.Log.Info
+			if a.Wrong {
+				log = k.g.o.Log.Warn
+			}
+			log(a.Text, "from", "member")
+		}
+	}
+}
+
+func encodeHello(h member.Hello) []byte {
+	b := []byte{memberMark, byte(h.Phase), 0}
+	if h.Over {
+		b[2] = 1
+	}
+	return binary.BigEndian.AppendUint64(b, h.Epoch)
+}
+
+// heard takes a message; false where it is not one of these.
+func (k *keeper) heard(from int, b []byte) bool {
+	if len(b) == 0 || b[0] != memberMark {
+		return false
+	}
+	if len(b) != memberSize || b[1] > byte(member.Gone) {
+		return true // malformed: of a newer version
+	}
+	h := member.Hello{Phase: member.Phase(b[1]), Over: b[2] == 1, Epoch: binary.BigEndian.Uint64(b[3:])}
+	k.post(func() []member.Action { return k.m.Heard(time.Now(), from, h) })
+	return true
+}
+
+const memberFile = "roster-epoch"
+
+func recallMember(dir string) (m member.Memory, err error) {
+	if dir == "" {
+		return m, nil
+	}
+	b, err := os.ReadFile(filepath.Join(dir, memberFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return m, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(b, &m)
+	}
+	if err != nil {
+		return member.Memory{}, err
+	}
+	return m, nil
+}
+
+// rememberMember replaces the file in one step, and has it on the disk.
+func rememberMember(dir string, m member.Memory) error {
+	if dir == "" {
+		return nil
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(dir, memberFile)
+	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
--- a/gateway/tally.go
+++ b/gateway/tally.go
@@ -54,10 +54,8 @@
 	l := &ledger{g: g, t: tally.New(set), tell: tell, names: map[uint64]string{}, peers: map[string][]int{}, inc: inc}
 	for _, cu := range g.cfg.Customers {
 		l.names[xxhash.Sum64String(cu.Name)] = cu.Name
-		for i := range cu.Nodes {
-			l.peers[cu.Name] = append(l.peers[cu.Name], (cu.First+i)%gateways)
-		}
 	}
+	l.place(gateways)
 	l.client = counter.New(counter.Options{Network: g.o.Network, Addresses: c.Addresses,
 		Name: fmt.Sprintf("node-%d", g.cfg.Number), Limit: c.Limit, Keep: c.Keep})
 	g.closes = append(g.closes, l.client.Close)
@@ -76,6 +74,22 @@
 	return l, db, nil
 }
 
+// place says which nodes customers come in through, in a fleet of a size.
+func (l *ledger) place(gateways int) {
+	clear(l.peers)
+	for _, cu := range l.g.cfg.Customers {
+		for i := range min(cu.Nodes, gateways) {
+			l.peers[cu.Name] = append(l.peers[cu.Name], (cu.First+i)%gateways)
+		}
+	}
+}
+
+// resize follows a change of the fleet, in the node's loop.
+func (l *ledger) resize(gateways int) {
+	l.place(gateways)
+	l.t.Share(l.g.cfg.Counter.Calls / float64(gateways))
+}
+
 // Seen and Passed are the node's words, in its loop.
 func (l *ledger) Seen(t *node.Try) {
 	l.carry(l.t.Seen(l.g.o.Wall(), t.Customer, t.Plan, l.peers[t.Customer]))
--- a/node/node.go
+++ b/node/node.go
@@ -70,7 +70,8 @@
 	gw      *policy.Gateway
 	seed    uint64
 	now     time.Duration
-	gaps    int64 // that the loop knows of
+	fleet   policy.Fleet // the last one, as a module made anew must hear it
+	gaps    int64        // that the loop knows of
 	barrier stall.Barrier
 	held    []item // what waits behind it
 	wheel   timers.Wheel
@@ -305,6 +306,17 @@
 // Do runs f in the loop, in turn with all else that happens.
 func (n *Node) Do(f func()) { n.post(stall.Other, f) }
 
+// Resize tells the module of another number of gateways; see policy.Fleet. From the
+// loop only.
+func (n *Node) Resize(gateways, was int) {
+	n.o.Settings.Gateways = gateways
+	if n.fleet = (policy.Fleet{Gateways: gateways, Was: was}); was != 0 {
+		n.fleet.Was = -1 // for a module made anew meanwhile, which holds nothing yet
+	}
+	n.feed(policy.Fleet{Gateways: gateways, Was: was})
+	n.settle()
+}
+
 // Level tells the module how full a customer's store is; from the loop only.
 func (n *Node) Level(customer string, units float64) {
 	n.feed(policy.Level{Customer: customer, Units: units})
@@ -542,6 +554,9 @@
 	n.gw = gw
 	n.fifo, n.head = n.fifo[:0], 0
 	n.feed(policy.Members{Kind: policy.Remembered, Servers: n.list})
+	if n.fleet.Gateways > 0 {
+		n.feed(n.fleet)
+	}
 }
 
 func (n *Node) failAll(why string) {
--- a/peer/guard.go
+++ b/peer/guard.go
@@ -117,6 +117,13 @@
 		tokens: max(1, rate*burstTime), peers: make([]sender, nodes)}
 }
 
+// Grow makes room for senders with numbers below one; there is never less.
+func (g *Guard) Grow(nodes int) {
+	if more := nodes - len(g.peers); more > 0 {
+		g.peers = append(g.peers, make([]sender, more)...)
+	}
+}
+
 // Judge says whether an authentic message is taken.
 func (g *Guard) Judge(now time.Time, h Header) Word {
 	if int(h.From) >= len(g.peers) || h.To != g.me && h.From != g.me {
--- a/peer/mail.go
+++ b/peer/mail.go
@@ -37,7 +37,9 @@
 type Mail struct {
 	o     Options
 	pc    net.PacketConn
+	mu    sync.Mutex
 	to    map[int]net.Addr
+	most  int // above the highest number ever reached
 	out   chan letter
 	done  chan struct{}
 	ended sync.WaitGroup
@@ -73,6 +75,25 @@
 	return m, nil
 }
 
+// Reach sets where a number is reached from now on; "": nowhere.
+func (m *Mail) Reach(number int, address string) {
+	var a net.Addr
+	if address != "" {
+		var err error
+		if a, err = network.Addr(m.o.Network, address); err != nil {
+			m.o.Log.Error("a peer's address can't be used", "number", number, "address", address, "error", err)
+			return
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a == nil {
+		delete(m.to, number)
+		return
+	}
+	m.to[number], m.most = a, max(m.most, number+1)
+}
+
 // Tell sends a message, or loses it; it does not block.
 func (m *Mail) Tell(to int, data []byte) {
 	select {
@@ -93,7 +114,10 @@
 	for {
 		select {
 		case l := <-m.out:
-			if addr := m.to[l.to]; addr != nil && len(l.data) <= MaxPayload {
+			m.mu.Lock()
+			addr := m.to[l.to]
+			m.mu.Unlock()
+			if addr != nil && len(l.data) <= MaxPayload {
 				seq++
 				m.pc.WriteTo(Seal(m.o.Keys.Keys()[0], Header{From: uint16(m.o.Me), To: uint16(l.to), Incarnation: m.o.Incarnation,
 					Seq: seq, Sent: m.o.Wall()}, l.data), addr)
@@ -119,6 +143,9 @@
 		h, payload, ok := m.o.Keys.open(b[:n])
 		now, word := m.o.Wall(), Foreign
 		if ok {
+			m.mu.Lock()
+			g.Grow(m.most)
+			m.mu.Unlock()
 			word = g.Judge(now, h)
 		}
 		if word == Accept {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -259,6 +259,9 @@
 		windows: map[int64][]*account{}, rounds: make([]round, max(1, s.Parts)), parts: make([]part, max(1, s.Parts)), budget: s.Calls, mail: s.Mail}
 }
 
+// Share sets the calls a second that this node may make from now on.
+func (t *Tally) Share(calls float64) { t.set.Calls = calls }
+
 // Recall puts back what storage held: own registers, of this node's earlier
 // processes, are raised in the counter again. It comes before anything else.
 func (t *Tally) Recall(now time.Time, list []Register) {
@@ -338,7 +341,7 @@
 		c = &customer{name: name, plan: p, peers: peers, level: Level{p.Burst, now}, began: now}
 		t.customers[name] = c
 	}
-	c.seen = now
+	c.seen, c.peers = now, peers
 	if w := t.window(now); c.now == nil || c.now.key.Window != w {
 		if c.now != nil {
 			c.now.newest = false
