--- a/day/callers.go
+++ b/day/callers.go
@@ -110,7 +110,7 @@
 		if patience < 10*time.Millisecond {
 			return
 		}
-		t := audit.Tried{Trace: fmt.Sprintf("try-%d-%d", number, attempt), Node: rng.IntN(c.d.s.Nodes), Front: "http",
+		t := audit.Tried{Trace: fmt.Sprintf("try-%d-%d", number, attempt), Node: rng.IntN(int(c.d.asked.Load())), Front: "http",
 			Customer: who.Name, Plan: who.Plan, Class: class.Name, Units: max(1, class.Units), Repeat: attempt > 0}
 		switch at := rng.Float64(); {
 		case at < c.d.s.Clients.Proxied:
--- a/day/check.go
+++ b/day/check.go
@@ -69,6 +69,9 @@
 			c.wrong("customers", i, "customers %q: there is no plan %q", cu.Name, cu.Plan)
 		}
 	}
+	if s.Spares < 0 || s.Spares > 1000 {
+		c.wrong("", 0, "spares: %d", s.Spares)
+	}
 	if s.Nodes < 1 || s.Servers.Count < 1 || s.Servers.Racks < 1 || len(s.Classes) == 0 || len(s.Customers) == 0 {
 		c.wrong("", 0, "at least one node, server, rack, class and group of customers is needed")
 	}
@@ -113,6 +116,10 @@
 			wrong("arg: a duration is needed")
 		}
 		c.duration("fault", i, "arg", f.Arg)
+	case "count":
+		if n, err := strconv.Atoi(f.Arg); err != nil || n < 1 || n > s.Spares {
+			wrong("arg %q is not a number of the %d spares", f.Arg, s.Spares)
+		}
 	case "node":
 		if n, err := strconv.Atoi(f.Arg); err != nil || n < 0 || n >= s.Nodes || n == f.Target {
 			wrong("arg %q is not the number of another node", f.Arg)
@@ -131,6 +138,9 @@
 // Restart is what a node may take from its start on until it takes connections.
 const Restart = 500 * time.Millisecond
 
+// changeTime is what a change of the fleet may take after all nodes have read it.
+const changeTime = 4 * time.Second
+
 // order plays the faults through on paper, in order of time: one that can't
 // happen when its turn comes is a mistake.
 func (c *checker) order() {
@@ -140,6 +150,7 @@
 		back  time.Duration // a server that is gone may return from then on
 	}
 	const ever = 1 << 62
+	joined, changing := 0, time.Duration(0)
 	nodes, servers, proxies := map[int]state{}, map[int]state{}, map[int]state{}
 	turn := make([]int, len(c.s.Faults))
 	for i := range turn {
@@ -163,6 +174,18 @@
 			c.wrong("fault", i, "fault %q at %s: %s %d is %s then", f.Kind, f.At, cmp.Or(k.target, "it"), f.Target, now.what)
 			continue
 		}
+		if n, err := strconv.Atoi(f.Arg); strings.HasPrefix(f.Kind, "fleet-") && err == nil {
+			if f.Kind == "fleet-shrink" {
+				n = -n
+			}
+			if joined += n; joined < 0 || joined > c.s.Spares {
+				c.wrong("fault", i, "fault %q at %s: of %d spares %d would have joined", f.Kind, f.At, c.s.Spares, joined)
+			}
+			if at < changing {
+				c.wrong("fault", i, "fault %q at %s: the last change goes on until %v", f.Kind, f.At, changing)
+			}
+			changing = end + changeTime
+		}
 		switch f.Kind {
 		case "node-kill":
 			nodes[f.Target] = state{"dead", end + Restart, 0}
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -200,3 +200,18 @@
 		}
 	}
 }
+
+// A fleet grows, shrinks and grows again under faults, without a restart.
+func TestFleetDay(t *testing.T) {
+	var logs bytes.Buffer
+	r := playInBubble(t, source(t, "fleet"), func(b *Bubble) { b.Log = &logs })
+	if !r.Kept() {
+		r.Write(t.Output())
+		t.Error("a rule was broken")
+	}
+	for _, epoch := range []string{"taken epoch 2", "taken epoch 3", "taken epoch 4"} {
+		if n := strings.Count(logs.String(), "all nodes have "+epoch); n < 3 {
+			t.Errorf("%d nodes say that all have %s", n, epoch)
+		}
+	}
+}
--- a/day/run.go
+++ b/day/run.go
@@ -7,16 +7,21 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"text/template"
 	"time"
 
 	"github.com/zeebo/blake3"
 
 	"yardcleat.example/yardcleat/audit"
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/member"
 	"yardcleat.example/yardcleat/standin/authoriser"
 	"yardcleat.example/yardcleat/standin/catalogue"
 	"yardcleat.example/yardcleat/standin/counter"
@@ -59,6 +64,9 @@
 		sleep(ctx, 5*time.Second) // the last totals are added
 	}
 	for i, n := range d.nodes {
+		if n == nil {
+			continue
+		}
 		if err := n.End(); err != nil {
 			d.errs = append(d.errs, fmt.Errorf("node %d at its end: %w", i, err))
 		}
@@ -106,11 +114,13 @@
 	peer      []string
 	proxies   []string
 	configs   [][]byte
+	asked     atomic.Int64      // nodes that clients ask
 	relays    map[[2]int]*relay // by sender and receiver
 	fronts    []*proxy.Server   // the proxies, by the node they ask
 
 	mu     sync.Mutex
-	nodes  []Node
+	nodes  []Node         // nil: a spare that does not run
+	roster *member.Roster // nil: the fleet does not change
 	list   []discovery.Endpoint
 	colds  []*catalogue.Server // those that started cold
 	record audit.Record
@@ -130,7 +140,9 @@
 	nodes := d.nodes
 	d.mu.Unlock()
 	for _, n := range nodes {
-		n.Kill()
+		if n != nil {
+			n.Kill()
+		}
 	}
 	for i := len(d.closes) - 1; i >= 0; i-- {
 		d.closes[i]()
@@ -215,7 +227,9 @@
 		return err
 	}
 	d.discovery.Set(d.list)
-	for range s.Nodes {
+	total := s.Nodes + s.Spares
+	d.asked.Store(int64(s.Nodes))
+	for range total {
 		d.http, d.extAuthz = append(d.http, address()), append(d.extAuthz, address())
 		d.peer, d.proxies = append(d.peer, address()), append(d.proxies, address())
 		d.http2 = append(d.http2, address())
@@ -223,17 +237,27 @@
 	if err != nil {
 		return err
 	}
-	for i := range s.Nodes {
+	if s.Spares > 0 {
+		d.roster = &member.Roster{Epoch: 1}
+		for i := range s.Nodes {
+			d.roster.Nodes = append(d.roster.Nodes, member.Node{Name: nodeName(i), Address: nodeName(i) + ":1"})
+		}
+	}
+	for i := range total {
 		cfg, err := d.config(i)
 		if err != nil {
 			return err
 		}
 		d.configs = append(d.configs, cfg)
-		n, err := d.o.Env.Start(i, cfg)
-		if err != nil {
-			return err
+		d.nodes = append(d.nodes, nil)
+		if i < s.Nodes {
+			if err := d.writeRoster(i); err != nil {
+				return err
+			}
+			if d.nodes[i], err = d.o.Env.Start(i, cfg); err != nil {
+				return err
+			}
 		}
-		d.nodes = append(d.nodes, n)
 		d.fronts = append(d.fronts, nil)
 		if err := d.startProxy(i); err != nil {
 			return err
@@ -244,7 +268,7 @@
 
 // ready waits until every node takes connections.
 func (d *stage) ready() error {
-	for i, a := range d.http {
+	for i, a := range d.http[:d.asked.Load()] {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		for {
 			c, err := d.o.Env.Network("clients").Dial(ctx, a)
@@ -403,6 +427,8 @@
 		list := d.list
 		d.mu.Unlock()
 		d.discovery.Set(list)
+	case "fleet-grow", "fleet-shrink":
+		end(d.changeFleet(ctx, f))
 	case "node-kill-start":
 		end(d.killTwice(ctx, f))
 	case "proxy-kill":
@@ -449,6 +475,106 @@
 	d.say("%s %d %s is over", f.Kind, f.Target, f.Arg)
 }
 
+func nodeName(i int) string { return fmt.Sprint("node-", i) }
+
+// writeRoster gives a node the roster as it reaches the others: each by its own relay.
+func (d *stage) writeRoster(i int) error {
+	if d.roster == nil {
+		return nil
+	}
+	dir, err := d.o.Env.Dir(i)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	r := *d.roster
+	d.mu.Unlock()
+	at := func(k int) string {
+		if k == i {
+			return d.peer[i]
+		}
+		return d.relays[[2]int{i, k}].address
+	}
+	r.Nodes, r.Leaving = slices.Clone(r.Nodes), slices.Clone(r.Leaving)
+	for k := range r.Nodes {
+		r.Nodes[k].Address = at(k)
+	}
+	for k := range r.Leaving {
+		r.Leaving[k].Address = at(r.Leaving[k].Number)
+	}
+	path := filepath.Join(dir, "roster.hcl")
+	if err := os.WriteFile(path+".new", config.WriteRoster(&r), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// changeFleet has spares join or leave. The nodes read of it one after the other, in
+// an order drawn from the seed.
+func (d *stage) changeFleet(ctx context.Context, f Fault) error {
+	n, _ := strconv.Atoi(f.Arg)
+	d.mu.Lock()
+	old := len(d.roster.Nodes)
+	list := slices.Clone(d.roster.Nodes)
+	if f.Kind == "fleet-shrink" {
+		list = list[:old-n]
+	} else {
+		for i := range n {
+			list = append(list, member.Node{Name: nodeName(old + i), Address: nodeName(old+i) + ":1"})
+		}
+	}
+	// Who left by an earlier change has ended since: the day vouches for it.
+	var gone []string
+	for _, l := range d.roster.Leaving {
+		if d.nodes[l.Number] == nil {
+			gone = append(gone, l.Name)
+		}
+	}
+	r, err := d.roster.Next(list, gone)
+	if err == nil {
+		*d.roster = r
+	}
+	d.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if len(list) < old {
+		d.asked.Store(int64(len(list))) // their addresses are withdrawn first
+	}
+	order := rand.New(rand.NewPCG(uint64(d.s.Seed), r.Epoch)).Perm(max(old, len(list)))
+	for _, i := range order {
+		sleep(ctx, dur(f.For)/time.Duration(len(order)))
+		if err := d.writeRoster(i); err != nil {
+			return err
+		}
+		if i >= old {
+			n, err := d.o.Env.Start(i, d.configs[i])
+			if err != nil {
+				return err
+			}
+			d.mu.Lock()
+			d.nodes[i] = n
+			d.mu.Unlock()
+		}
+	}
+	if len(list) > old {
+		sleep(ctx, time.Second)
+		d.asked.Store(int64(len(list)))
+		return d.ready()
+	}
+	sleep(ctx, 2*time.Second)
+	for i := len(list); i < old; i++ {
+		d.mu.Lock()
+		n := d.nodes[i]
+		d.nodes[i] = nil
+		d.mu.Unlock()
+		if err := n.End(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // killTwice kills a node, starts it again, and kills it while it starts.
 func (d *stage) killTwice(ctx context.Context, f Fault) error {
 	from := time.Now()
@@ -512,11 +638,12 @@
 
 // relay stands between a node and a peer, and loses what passes by chance.
 type relay struct {
-	pc    net.PacketConn
-	to    net.Addr
-	mu    sync.Mutex
-	share float64
-	rng   *rand.Rand
+	address string
+	pc      net.PacketConn
+	to      net.Addr
+	mu      sync.Mutex
+	share   float64
+	rng     *rand.Rand
 }
 
 func (r *relay) lose(share float64) {
@@ -559,7 +686,7 @@
 	if err != nil {
 		return "", err
 	}
-	r := &relay{pc: pc, to: dest, rng: rand.New(rand.NewPCG(uint64(d.s.Seed), uint64(from*1000+to)))}
+	r := &relay{address: address, pc: pc, to: dest, rng: rand.New(rand.NewPCG(uint64(d.s.Seed), uint64(from*1000+to)))}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -580,7 +707,7 @@
 		return nil, err
 	}
 	peers := map[int]string{}
-	for k := range d.s.Nodes {
+	for k := range d.s.Nodes + d.s.Spares {
 		if k == i {
 			continue
 		}
@@ -592,13 +719,17 @@
 	var b bytes.Buffer
 	err = nodeConfig.Execute(&b, map[string]any{"S": d.s, "Number": i, "Zone": fmt.Sprint("room-", i%d.s.Servers.Racks),
 		"Dir": dir, "HTTP": d.http[i], "HTTP2": d.http2[i], "ExtAuthz": d.extAuthz[i], "Peer": d.peer[i], "Peers": peers, "Key": hex.EncodeToString(key[:]),
-		"Auth": d.authAddr, "EDS": d.edsAddr, "Customers": customers(d.s), "Counters": d.counterAt})
+		"Auth": d.authAddr, "EDS": d.edsAddr, "Customers": customers(d.s), "Counters": d.counterAt, "Roster": d.roster != nil})
 	return b.Bytes(), err
 }
 
 var nodeConfig = template.Must(template.New("node").Parse(`# Written by "yardcleat day".
 node {
+  {{- if .Roster}}
+  name      = "node-{{.Number}}"
+  {{- else}}
   number    = {{.Number}}
+  {{- end}}
   zone      = "{{.Zone}}"
   state_dir = "{{.Dir}}"
 }
@@ -651,9 +782,13 @@
   listen = "{{.Peer}}"
   key = "{{.Key}}"
   mail_per_second = {{.S.Mail}}
+  {{- if .Roster}}
+  roster = "{{.Dir}}/roster.hcl"
+  {{- else}}
   {{- range $n, $a := .Peers}}
   peer "{{$n}}" { address = "{{$a}}" }
   {{- end}}
+  {{- end}}
 }
 authoriser {
   address = "{{.Auth}}"
--- a/day/script.go
+++ b/day/script.go
@@ -43,6 +43,7 @@
 	Length    Duration `hcl:"length"`
 	Seed      int      `hcl:"seed,optional"`
 	Nodes     int      `hcl:"nodes"`
+	Spares    int      `hcl:"spares,optional"` // nodes that may join; with any, the fleet is by roster
 	Mail      float64  `hcl:"mail_per_second,optional"`
 	Servers   Servers  `hcl:"servers,block"`
 	Clients   Clients  `hcl:"clients,block"`
@@ -165,6 +166,8 @@
 	"discovery-silent": {"", ""},             // changes are held back
 	"discovery-bad":    {"", ""},             // a list that can't be meant, and then the good one
 	"discovery-cut":    {"", ""},             // its streams end
+	"fleet-grow":       {"", "count"},        // so many spares join; the nodes hear of it over "for"
+	"fleet-shrink":     {"", "count"},        // so many of them leave again
 	"clock-set":        {"node", "duration"}, // the node's wall clock, by so much; back after "for"; in virtual time alone
 }
 
--- a/gateway/member.go
+++ b/gateway/member.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -31,7 +31,7 @@
 	m     *member.Member
 	mail  *peer.Mail
 	do    chan func() []member.Action
-	stamp string // of the roster's file as last read
+	file  []byte // the roster's, as last read
 }
 
 // newKeeper returns a keeper of a fleet by roster.
@@ -91,16 +91,12 @@
 // look reads the roster's file again where it has changed.
 func (k *keeper) look() {
 	path := k.g.cfg.Peers.RosterFile
-	st, err := os.Stat(path)
-	if err != nil {
-		return // it is being replaced, or is gone: what was taken stays
-	}
-	stamp := fmt.Sprint(st.ModTime().UnixNano(), " ", st.Size())
-	if stamp == k.stamp {
-		return
+	b, err := os.ReadFile(path)
+	if err != nil || bytes.Equal(b, k.file) {
+		return // where it is being replaced, or is gone, what was taken stays
 	}
-	k.stamp = stamp
-	r, err := config.LoadRoster(path)
+	k.file = b
+	r, err := config.ParseRoster(b, path)
 	if err != nil {
 		k.g.o.Log.Error("the roster can't be used; the last one is kept", "error", err)
 		return
--- a/lab/hunt/draw.go
+++ b/lab/hunt/draw.go
@@ -47,6 +47,8 @@
 	return func(g *drawer, _ *day.Script) string { return list[g.rng.IntN(len(list))] }
 }
 
+func count(g *drawer, s *day.Script) string { return strconv.Itoa(1 + g.rng.IntN(max(1, s.Spares))) }
+
 func between(from, to time.Duration) func(*drawer, *day.Script) string {
 	return func(g *drawer, _ *day.Script) string { return g.span(from, to).String() }
 }
@@ -77,6 +79,8 @@
 	{"discovery-bad", 1, 0, 0, nil},
 	{"discovery-cut", 1, 0, 0, nil},
 	{"clock-set", 1, 200 * time.Millisecond, 8 * time.Second, numbers("1h", "-1h", "30s", "-30s", "2s", "-2s")},
+	{"fleet-grow", 2, 100 * time.Millisecond, 3 * time.Second, count},
+	{"fleet-shrink", 2, 100 * time.Millisecond, 3 * time.Second, count},
 	{"authoriser-slow", 2, 500 * time.Millisecond, 5 * time.Second, numbers("50ms", "120ms", "190ms", "1s")},
 	{"authoriser-silent", 1, 500 * time.Millisecond, 5 * time.Second, nil},
 	{"counter-silent", 1, 500 * time.Millisecond, 6 * time.Second, nil},
@@ -133,6 +137,9 @@
 	for s.Nodes < g.lim.Nodes[1] && g.rng.Float64() < 0.6 {
 		s.Nodes++
 	}
+	if s.Spares = 0; g.rng.IntN(5) < 2 {
+		s.Spares = 1 + g.rng.IntN(4)
+	}
 	g.mix(s)
 	for n := g.within(g.lim.Faults); n > 0; n-- {
 		g.add(s)
--- a/member/member.go
+++ b/member/member.go
@@ -85,6 +85,7 @@
 			next.Gone = append(next.Gone, name)
 		}
 	}
+	next.Gone = slices.DeleteFunc(next.Gone, func(name string) bool { return next.number(name) >= 0 }) // it has come back
 	before := slices.Clone(r.Leaving)
 	for i, n := range r.Nodes {
 		before = append(before, Leaver{i, n})
