--- a/day/check.go
+++ b/day/check.go
@@ -138,8 +138,8 @@
 // Restart is what a node may take from its start on until it takes connections.
 const Restart = 500 * time.Millisecond
 
-// changeTime is what a change of the fleet may take after all nodes have read it.
-const changeTime = 4 * time.Second
+// ChangeTime is what a change of the fleet may take after all nodes have read it.
+const ChangeTime = 4 * time.Second
 
 // order plays the faults through on paper, in order of time: one that can't
 // happen when its turn comes is a mistake.
@@ -184,7 +184,7 @@
 			if at < changing {
 				c.wrong("fault", i, "fault %q at %s: the last change goes on until %v", f.Kind, f.At, changing)
 			}
-			changing = end + changeTime
+			changing = end + ChangeTime
 		}
 		switch f.Kind {
 		case "node-kill":
--- a/gateway/member.go
+++ b/gateway/member.go
@@ -27,11 +27,11 @@
 // order: what the disk must remember is there before the module or a peer hears of
 // what follows.
 type keeper struct {
-	g     *Gateway
-	m     *member.Member
-	mail  *peer.Mail
-	do    chan func() []member.Action
-	file  []byte // the roster's, as last read
+	g    *Gateway
+	m    *member.Member
+	mail *peer.Mail
+	do   chan func() []member.Action
+	file []byte // the roster's, as last read
 }
 
 // newKeeper returns a keeper of a fleet by roster.
--- a/lab/hunt/draw.go
+++ b/lab/hunt/draw.go
@@ -212,6 +212,15 @@
 		g.comeBack(s, &f)
 		return f
 	}
+	if sh.kind == "fleet-shrink" && s.Spares > 0 {
+		for _, o := range s.Faults {
+			if o.Kind == "fleet-grow" { // those that joined leave again
+				at, _ := time.ParseDuration(o.At)
+				last, _ := time.ParseDuration(o.For)
+				f.At, f.Arg = g.time(at+last+day.ChangeTime+g.span(50*time.Millisecond, 4*time.Second)), o.Arg
+			}
+		}
+	}
 	if sh.from > 0 {
 		f.For = g.span(sh.from, sh.to).String()
 	}
@@ -229,7 +238,7 @@
 		}
 		f.Target = g.rng.IntN(n)
 	}
-	if sh.arg != nil {
+	if sh.arg != nil && f.Arg == "" {
 		f.Arg = sh.arg(g, s)
 	}
 	return f
