--- a/cmd/yardcleat/hunt.go
+++ b/cmd/yardcleat/hunt.go
@@ -53,6 +53,7 @@
 	keep    string
 	first   bool
 	shrink  int
+	longest time.Duration
 	found   map[string]int
 }
 
@@ -87,6 +88,7 @@
 	c.Flags().StringVar(&h.defect, "defect", "", "play builds with a defence taken out: "+strings.Join(virtual.Defects(), ", "))
 	c.Flags().BoolVar(&h.first, "first", false, "end at the first find, and shrink nothing")
 	c.Flags().IntVar(&h.shrink, "shrink", 80, "plays for shrinking one find")
+	c.Flags().DurationVar(&h.longest, "longest", time.Minute, "real time after which a day is given up, and is a find")
 	c.Flags().StringVar(&nodes, "nodes", "2-12", "sizes of fleets")
 	c.Flags().StringVar(&faults, "faults", "3-14", "faults of a day")
 	c.Flags().StringSliceVar(&h.lim.Kinds, "kind", nil, "kinds of fault to draw; all where none is given")
@@ -150,6 +152,7 @@
 	if h.pool, err = workers(); err != nil {
 		return err
 	}
+	h.pool.Longest = h.longest
 	defer h.pool.Close()
 	if h.keep != "" {
 		if err := os.MkdirAll(h.keep, 0o755); err != nil {
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -74,7 +74,7 @@
 	defer nc.Close()
 	c := &conn{s: s, nc: nc, streams: map[uint32]*stream{}, sendWindow: initialWindow, peerWindow: initialWindow,
 		peerFrame: h2.Frame, abuse: float64(s.o.Abuse), abuseAt: time.Now()}
-	c.cond = sync.NewCond(&c.mu)
+	c.cond, c.wmu = sync.NewCond(&c.mu), h2.NewLock()
 	s.mu.Lock()
 	full := s.closing || len(s.conns) >= s.o.Connections
 	if !full {
@@ -127,7 +127,7 @@
 	nc net.Conn
 	fr *http2.Framer
 
-	wmu  sync.Mutex // over writes
+	wmu  h2.Lock // over writes
 	hbuf bytes.Buffer
 	henc *hpack.Encoder
 
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -40,7 +40,7 @@
 	nc      net.Conn
 	fr      *http2.Framer
 
-	wmu  sync.Mutex // over writes
+	wmu  h2.Lock // over writes
 	hbuf bytes.Buffer
 	henc *hpack.Encoder
 
@@ -106,7 +106,7 @@
 	}
 	c := &h2conn{p: p, address: t.Address, nc: nc, fr: http2.NewFramer(nc, nc), streams: map[uint32]*h2stream{}, next: 1,
 		most: h2Streams, sendWindow: h2Initial, peerWindow: h2Initial}
-	c.cond = sync.NewCond(&c.mu)
+	c.cond, c.wmu = sync.NewCond(&c.mu), h2.NewLock()
 	c.henc = hpack.NewEncoder(&c.hbuf)
 	c.fr.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
 	c.fr.MaxHeaderListSize = uint32(p.o.Limits.Header)
@@ -175,16 +175,14 @@
 func (c *h2conn) request(s *h2stream, call *node.Call) error {
 	late := false
 	err := c.write(func() error {
+		if late = s.t.late(); late {
+			return nil
+		}
 		c.mu.Lock()
 		if c.closed || s.over {
 			c.mu.Unlock()
 			return nil // its end is told by who ended it
 		}
-		if s.t.late() {
-			late = true
-			c.mu.Unlock()
-			return nil
-		}
 		for id, other := range c.streams {
 			if other == s {
 				delete(c.streams, id)
