--- a/config/roster.go
+++ b/config/roster.go
@@ -80,7 +80,6 @@
 func WriteRoster(r *member.Roster) []byte {
 	f := hclwrite.NewEmptyFile()
 	body := f.Body()
-	body.AppendUnstructuredTokens(hclwrite.Tokens{{Type: 0, Bytes: []byte("# Nodes have numbers in the order in which they stand. Made by \"yardcleat roster\".\n\n")}})
 	body.SetAttributeValue("epoch", cty.NumberUIntVal(r.Epoch))
 	if len(r.Gone) > 0 {
 		var gone []cty.Value
@@ -99,5 +98,6 @@
 		b.SetAttributeValue("number", cty.NumberIntVal(int64(l.Number)))
 		b.SetAttributeValue("address", cty.StringVal(l.Address))
 	}
-	return f.Bytes()
+	return append([]byte("# Nodes have numbers in the order in which they stand. Made by \"yardcleat roster\".\n\n"),
+		hclwrite.Format(f.Bytes())...)
 }
--- /dev/null
+++ b/config/roster_test.go
@@ -0,0 +1,30 @@
+package config
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"yardcleat.example/yardcleat/member"
+)
+
+func TestRosterFile(t *testing.T) {
+	r := &member.Roster{Epoch: 7, Nodes: []member.Node{{Name: "a", Address: "10.0.0.1:7000"}, {Name: "b", Address: "10.0.0.2:7000"}},
+		Leaving: []member.Leaver{{Number: 2, Node: member.Node{Name: "c", Address: "10.0.0.3:7000"}}}, Gone: []string{"d", "e"}}
+	back, err := ParseRoster(WriteRoster(r), "r.hcl")
+	if err != nil || !reflect.DeepEqual(back, r) {
+		t.Errorf("%+v, %v\n%s", back, err, WriteRoster(r))
+	}
+	for _, c := range []struct{ text, want string }{
+		{"epoch = 1\nnode \"a\" {\n  address = \"nowhere\"\n}\n", `r.hcl:2: "nowhere" is not an address`},
+		{"epoch = 1\nnode \"a\" {\n}\n", "r.hcl:2"},
+		{"epoch = \"x\"\n", "r.hcl:1"},
+		{"epoch = 1\n", "r.hcl: there is no node"},
+		{"epoch = -1\n", "below 0"},
+		{"epoch = 1\nnodes = 3\n", "r.hcl:2"},
+	} {
+		if _, err := ParseRoster([]byte(c.text), "r.hcl"); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+}
--- a/gateway/member.go
+++ b/gateway/member.go
@@ -47,7 +47,7 @@
 
 // run keeps the member until the context ends.
 func (k *keeper) run(ctx context.Context) {
-	k.carry(k.m.Read(time.Now(), *k.g.cfg.Roster))
+	k.carry(k.m.Roster(time.Now(), *k.g.cfg.Roster))
 	tick := time.NewTicker(memberTick)
 	defer tick.Stop()
 	for {
@@ -101,7 +101,7 @@
 		k.g.o.Log.Error("the roster can't be used; the last one is kept", "error", err)
 		return
 	}
-	k.carry(k.m.Read(time.Now(), *r))
+	k.carry(k.m.Roster(time.Now(), *r))
 }
 
 func (k *keeper) carry(acts []member.Action) {
@@ -145,10 +145,7 @@
 }
 
 func encodeHello(h member.Hello) []byte {
-	b := []byte{memberMark, byte(h.Phase), 0}
-	if h.Over {
-		b[2] = 1
-	}
+	b := []byte{memberMark, byte(h.Phase), byte(h.Stage)}
 	return binary.BigEndian.AppendUint64(b, h.Epoch)
 }
 
@@ -157,10 +154,10 @@
 	if len(b) == 0 || b[0] != memberMark {
 		return false
 	}
-	if len(b) != memberSize || b[1] > byte(member.Gone) {
+	if len(b) != memberSize || b[1] > byte(member.Gone) || b[2] > byte(member.Over) {
 		return true // malformed: of a newer version
 	}
-	h := member.Hello{Phase: member.Phase(b[1]), Over: b[2] == 1, Epoch: binary.BigEndian.Uint64(b[3:])}
+	h := member.Hello{Phase: member.Phase(b[1]), Stage: member.Stage(b[2]), Epoch: binary.BigEndian.Uint64(b[3:])}
 	k.post(func() []member.Action { return k.m.Heard(time.Now(), from, h) })
 	return true
 }
--- a/lab/quota.go
+++ b/lab/quota.go
@@ -38,7 +38,20 @@
 // Faults lists what Quota knows.
 var Faults = []Fault{"none", "silent", "silent, back empty", "emptied", "old copy", "split, first wins", "split, second wins",
 	"split, both merged", "flapping", "restarts", "mail 8% lost", "mail lost", "emptied + restarts", "silent + restarts",
-	"split, both merged + restarts", "silent + mail lost", "mail lost + restarts"}
+	"split, both merged + restarts", "silent + mail lost", "mail lost + restarts",
+	Doubled, Halved, DoubledByRestart, HalvedByRestart}
+
+// Changes of the fleet's size: heard of in service, or by a restart of all nodes.
+const (
+	Doubled          Fault = "doubled in service"
+	Halved           Fault = "halved in service"
+	DoubledByRestart Fault = "doubled by restarts"
+	HalvedByRestart  Fault = "halved by restarts"
+
+	hearing  = 2 * time.Second        // over which nodes read of a change
+	wording  = 500 * time.Millisecond // within which each then hears that all have,
+	overTime = 3 * time.Second        // and until nothing of it is under way
+)
 
 // Experiment is one run.
 type Experiment struct {
@@ -145,6 +158,7 @@
 	nodes     []*instance
 	customers []*customer
 	has       map[string]bool // the parts of the fault
+	size      int             // nodes that customers come in through
 	loss      float64
 	counter   *counter
 	admitted  float64
@@ -158,6 +172,7 @@
 	down   bool
 	gw     *policy.Gateway
 	tl     *tally.Tally
+	size   int // of the fleet, as it was last told
 	tries  map[policy.RequestID]*customer
 	sent   map[policy.RequestID]int
 	parts  map[string]*bucket
@@ -220,14 +235,14 @@
 
 // Quota runs an experiment.
 func Quota(e Experiment) (Result, error) {
-	f := &fleet{e: e, rng: rand.New(rand.NewPCG(e.Seed, 7)), has: map[string]bool{}, counter: &counter{epoch: 1}}
+	f := &fleet{e: e, size: e.Nodes, rng: rand.New(rand.NewPCG(e.Seed, 7)), has: map[string]bool{}, counter: &counter{epoch: 1}}
 	for _, part := range strings.Split(string(e.Fault), " + ") {
 		f.has[part] = true
 	}
 	f.counter.side[0] = newHolds(1)
 	f.counter.side[1] = f.counter.side[0]
 	for i := range e.Nodes {
-		n := &instance{f: f, num: i}
+		n := &instance{f: f, num: i, size: e.Nodes}
 		f.nodes = append(f.nodes, n)
 		if err := n.start(); err != nil {
 			return Result{}, err
@@ -275,7 +290,7 @@
 	for at -= c.weights[0]; at >= 0 && k < len(c.weights)-1; at -= c.weights[k] {
 		k++
 	}
-	n := f.nodes[(c.first+k)%f.e.Nodes]
+	n := f.nodes[(c.first+k)%f.size]
 	if n.down {
 		return // its client comes again elsewhere: another try
 	}
@@ -305,7 +320,7 @@
 func (n *instance) peers(c *customer) []int {
 	var all []int
 	for i := range c.weights {
-		all = append(all, (c.first+i)%n.f.e.Nodes)
+		all = append(all, (c.first+i)%n.size)
 	}
 	return all
 }
@@ -315,8 +330,8 @@
 	n.tries, n.sent, n.parts, n.tl = map[policy.RequestID]*customer{}, map[policy.RequestID]int{}, map[string]*bucket{}, nil
 	n.tokens, n.mailAt = mailRate/2, n.f.now
 	var err error
-	n.gw, err = policy.New(policy.Settings{Me: n.num, Gateways: n.f.e.Nodes, Resolution: time.Millisecond, MaxAttempts: 2,
-		CanCancel: true, CanTell: n.f.e.Nodes > 1, MailPerSecond: mailRate, LargestUnits: 1, Plans: []policy.Plan{plan},
+	n.gw, err = policy.New(policy.Settings{Me: n.num, Gateways: n.size, Resolution: time.Millisecond, MaxAttempts: 2,
+		CanCancel: true, CanTell: n.size > 1, MailPerSecond: mailRate, LargestUnits: 1, Plans: []policy.Plan{plan},
 		Classes: []policy.Class{{Name: "lookup", Aim: 800 * time.Millisecond, Deadline: 3 * time.Second}}}, n.f.e.Seed*1000+uint64(n.num)+n.inc<<32)
 	if err != nil {
 		return err
@@ -331,7 +346,7 @@
 	n.feed(list)
 	if n.f.e.Way == WithTally {
 		n.tl = tally.New(tally.Settings{Me: tally.Owner{Node: n.num, Incarnation: n.inc}, Parts: 1, Window: time.Hour, Keep: 24,
-			Calls: callRate / float64(n.f.e.Nodes), Mail: mailRate * 0.05,
+			Calls: callRate / float64(n.size), Mail: mailRate * 0.05,
 			Rates: map[string]tally.Plan{plan.Name: {Rate: plan.Rate, Burst: plan.Burst}}})
 		n.tick(n.inc)
 	}
@@ -417,8 +432,8 @@
 				f.mail(n, a.To, func(to *instance) { to.feed(policy.PeerMessage{From: n.num, Data: a.Data}) })
 				break
 			}
-			for i := range f.nodes {
-				if i != n.num {
+			for i := range n.size {
+				if i != n.num && i < len(f.nodes) {
 					f.mail(n, i, func(to *instance) { to.feed(policy.PeerMessage{From: n.num, Data: a.Data}) })
 				}
 			}
@@ -432,6 +447,9 @@
 		return
 	}
 	f.after(mailDelay, func() {
+		if to >= len(f.nodes) {
+			return
+		}
 		n := f.nodes[to]
 		if n.down {
 			return
@@ -517,6 +535,8 @@
 	}
 	for part := range f.has {
 		switch part {
+		case string(Doubled), string(Halved), string(DoubledByRestart), string(HalvedByRestart):
+			f.resize(Fault(part))
 		case "silent", "silent, back empty":
 			c.silent = true
 			f.after(faultFor, func() {
@@ -562,6 +582,60 @@
 	}
 }
 
+// resize changes the fleet's size. Customers come in through the new nodes once all
+// have heard, and no more through those that leave before any has.
+func (f *fleet) resize(how Fault) {
+	old := f.e.Nodes
+	size := 2 * old
+	if how == Halved || how == HalvedByRestart {
+		size = max(1, old/2)
+		f.size = size
+	}
+	for i := old; i < size; i++ {
+		f.nodes = append(f.nodes, &instance{f: f, num: i, size: size, down: true})
+	}
+	for i, n := range f.nodes {
+		f.after(time.Duration(f.rng.Int64N(int64(hearing))), func() {
+			switch {
+			case how == DoubledByRestart || how == HalvedByRestart:
+				n.down = true
+				if i < size {
+					f.after(time.Second, func() { n.up(size) })
+				}
+			case i >= old:
+				n.up(size)
+				n.feed(policy.Fleet{Gateways: size, Was: -1})
+			}
+		})
+		word := func() time.Duration { return time.Duration(f.rng.Int64N(int64(wording))) }
+		if how == Doubled || how == Halved {
+			if i < old {
+				f.after(hearing+word(), func() { n.resized(size, old) })
+			}
+			f.after(hearing+wording+word(), func() { n.resized(size, 0) })
+		}
+		f.after(hearing+overTime, func() { n.down = n.down || i >= size })
+	}
+	f.after(hearing+overTime, func() { f.size = size })
+}
+
+// up starts a node in a fleet of a size.
+func (n *instance) up(size int) {
+	n.size, n.down = size, false
+	if err := n.start(); err != nil {
+		panic(err) // the settings are those of the others
+	}
+}
+
+// resized tells a running node of the fleet's size.
+func (n *instance) resized(size, was int) {
+	n.size = size
+	n.feed(policy.Fleet{Gateways: size, Was: was})
+	if n.tl != nil {
+		n.tl.Share(callRate / float64(size))
+	}
+}
+
 func (c *counter) heal(how string) {
 	switch how {
 	case "split, first wins":
--- a/member/member.go
+++ b/member/member.go
@@ -3,10 +3,11 @@
 // and it says what to tell the module, the peers, the disk and the operators.
 //
 // A roster names the nodes and their numbers, with an epoch that rises by one at
-// each change. Every node takes a new epoch at its own time and says so. A change is
-// over for a node once all its nodes, and all that were taken out in this epoch
-// or an earlier one, have said it, or are vouched for as gone: only then do new parts of ceilings hold (see
-// policy.Fleet). Nothing rests on clocks but how often things are said.
+// each change. Every node reads a new epoch at its own time and says so. Once all its
+// nodes, and all that were taken out in this epoch or an earlier one, have said so, or
+// are vouched for as gone, parts of ceilings shrink to the smaller of old and new; once
+// all have said that, the new ones hold (see policy.Fleet). Nothing rests on clocks but
+// how often things are said.
 package member
 
 import (
@@ -133,11 +134,21 @@
 
 // Hello is what a node says of itself to its peers.
 type Hello struct {
-	Epoch uint64 // that it has taken
-	Over  bool   // that change is over for it
+	Epoch uint64 // that it has read
+	Stage Stage  // how far that change is for it
 	Phase Phase
 }
 
+// Stage is how far a change is for a node.
+type Stage int
+
+// The stages, in order.
+const (
+	Read    Stage = iota // it knows the new roster, and holds its old parts
+	Smaller              // all have read it: it holds the smaller of old and new, or none
+	Over                 // all hold the smaller: it holds its new parts
+)
+
 // Action is something a Member wants done.
 type Action interface{ action() }
 
@@ -193,6 +204,7 @@
 // heard is what a number has said.
 type heard struct {
 	epoch uint64
+	stage Stage
 	phase Phase
 }
 
@@ -204,7 +216,8 @@
 	me      int          // number; -1: in no roster
 	names   map[int]Node // who has, or had, each number
 	numbers []int        // of names, in order
-	over    bool
+	stage   Stage
+	was     int           // nodes before the change
 	heard   map[int]heard // by number, of the roster's union with the one before
 	list    bool          // there is a server list
 	phase   Phase
@@ -234,11 +247,11 @@
 func (m *Member) Phase() Phase { return m.phase }
 
 // Over tells whether no change is under way, as far as this node knows.
-func (m *Member) Over() bool { return m.roster != nil && m.over }
+func (m *Member) Over() bool { return m.roster != nil && m.stage == Over }
 
-// Read takes in a roster. One that can't be meant changes nothing; a later epoch is
+// Roster takes in a roster as it was read. One that can't be meant changes nothing; a later epoch is
 // taken at once, but where the last change is not over here: then it waits.
-func (m *Member) Read(now time.Time, r Roster) []Action {
+func (m *Member) Roster(now time.Time, r Roster) []Action {
 	m.acts = nil
 	if err := r.Check(); err != nil {
 		m.note(true, "the roster is left aside: %v", err)
@@ -278,7 +291,7 @@
 
 // advance takes the roster that waits, once the last change is over.
 func (m *Member) advance(now time.Time) {
-	if m.next == nil || !m.over {
+	if m.next == nil || m.stage != Over {
 		return
 	}
 	was := len(m.roster.Nodes)
@@ -295,7 +308,15 @@
 
 // take makes a roster the one in force. The disk knows before anything is done.
 func (m *Member) take(now time.Time, r *Roster, was int, over bool) {
-	m.roster, m.over, m.changed, m.noted, m.told = r, over, now, now, time.Time{}
+	m.roster, m.was, m.changed, m.noted, m.told = r, was, now, now, time.Time{}
+	switch {
+	case over:
+		m.stage = Over
+	case was < 0:
+		m.stage = Smaller // it holds nothing
+	default:
+		m.stage = Read
+	}
 	m.me = -1
 	m.acts = append(m.acts, Remember{Memory{r.Epoch, over}})
 	m.names, m.numbers = map[int]Node{}, nil
@@ -316,36 +337,42 @@
 		m.acts = append(m.acts, Address{i, m.names[i].Address})
 	}
 	if over {
-		was = 0
+		m.acts = append(m.acts, Fleet{len(r.Nodes), 0})
+	} else if was < 0 {
+		m.acts = append(m.acts, Fleet{len(r.Nodes), -1})
 	}
-	m.acts = append(m.acts, Fleet{len(r.Nodes), was})
 	m.note(false, "roster of epoch %d: %d nodes, this one has number %d", r.Epoch, len(r.Nodes), m.me)
 	m.settle(now)
 }
 
-// missing lists the numbers that have not said the epoch yet, nor left.
+// missing lists the numbers that have not said what this node waits for, nor left.
+// Who has gone on to a later epoch is through with this one, or holds nothing.
 func (m *Member) missing() (list []int) {
 	for _, i := range m.numbers {
 		if i == m.me || m.next != nil && slices.Contains(m.next.Gone, m.names[i].Name) {
 			continue
 		}
 		h := m.heard[i]
-		if h.epoch < m.roster.Epoch && !(h.phase == Gone && i >= len(m.roster.Nodes)) {
+		if (h.epoch < m.roster.Epoch || h.epoch == m.roster.Epoch && h.stage < m.stage) && !(h.phase == Gone && i >= len(m.roster.Nodes)) {
 			list = append(list, i)
 		}
 	}
 	return list
 }
 
-// settle ends the change once all have heard of it.
+// settle goes on with the change once all are as far as this node.
 func (m *Member) settle(now time.Time) {
-	if m.roster == nil || m.over || len(m.missing()) > 0 {
+	if m.roster == nil || m.stage == Over || len(m.missing()) > 0 {
+		return
+	}
+	m.told = time.Time{}
+	if m.stage++; m.stage == Smaller {
+		m.acts = append(m.acts, Fleet{len(m.roster.Nodes), m.was})
+		m.settle(now)
 		return
 	}
-	m.over = true
 	m.acts = append(m.acts, Remember{Memory{m.roster.Epoch, true}}, Fleet{len(m.roster.Nodes), 0})
 	m.note(false, "all nodes have taken epoch %d, after %v", m.roster.Epoch, now.Sub(m.changed).Round(time.Millisecond))
-	m.told = time.Time{}
 	m.advance(now)
 }
 
@@ -354,13 +381,17 @@
 func (m *Member) Heard(now time.Time, from int, h Hello) []Action {
 	m.acts = nil
 	old := m.heard[from]
-	m.heard[from] = heard{max(old.epoch, h.Epoch), h.Phase}
+	word := heard{h.Epoch, h.Stage, h.Phase}
+	if old.epoch > h.Epoch || old.epoch == h.Epoch && old.stage > h.Stage {
+		word.epoch, word.stage = old.epoch, old.stage
+	}
+	m.heard[from] = word
 	if m.roster != nil {
 		if h.Epoch > m.roster.Epoch && m.next == nil && h.Epoch > old.epoch {
 			m.note(true, "number %d has taken epoch %d, and this node has read none after %d", from, h.Epoch, m.roster.Epoch)
 		}
 		// Who is behind hears at once what was said here: it may wait for it.
-		if h.Epoch == m.roster.Epoch && !h.Over && m.over && from != m.me {
+		if h.Epoch == m.roster.Epoch && h.Stage < m.stage && from != m.me {
 			m.acts = append(m.acts, Tell{from, m.hello()})
 		}
 		m.settle(now)
@@ -408,7 +439,7 @@
 	m.acts = append(m.acts, Changed{p})
 }
 
-func (m *Member) hello() Hello { return Hello{m.roster.Epoch, m.over, m.phase} }
+func (m *Member) hello() Hello { return Hello{m.roster.Epoch, m.stage, m.phase} }
 
 // sayAll says a Hello to every other number.
 func (m *Member) sayAll() {
@@ -429,16 +460,16 @@
 		return nil
 	}
 	every := m.set.Slow
-	if !m.over {
+	if m.stage != Over {
 		every = m.set.Fast
 	}
 	if now.Sub(m.told) >= every || now.Before(m.told) {
 		m.told = now
 		m.sayAll()
 	}
-	if missing := m.missing(); !m.over && len(missing) > 0 && now.Sub(m.noted) >= m.set.Remind {
+	if missing := m.missing(); m.stage != Over && len(missing) > 0 && now.Sub(m.noted) >= m.set.Remind {
 		m.noted = now
-		m.note(true, "epoch %d is held up: numbers %v have not said it; what they hold of ceilings is counted as theirs", m.roster.Epoch,
+		m.note(true, "epoch %d is held up: numbers %v have not said it, or not all of it; what they hold of ceilings is counted as theirs", m.roster.Epoch,
 			missing[:min(len(missing), 20)])
 	}
 	return m.acts
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -164,7 +164,7 @@
 func (w *world) start(a *machine) {
 	a.p = &process{m: New(Settings{Name: a.name, Memory: a.disk})}
 	w.carry(a, a.p.m.Listed())
-	w.carry(a, a.p.m.Read(w.now, a.file))
+	w.carry(a, a.p.m.Roster(w.now, a.file))
 	w.carry(a, a.p.m.Serve())
 }
 
@@ -260,7 +260,7 @@
 			"read": func(t *rapid.T) {
 				a := pick(t)
 				if a.file = w.roster; a.p != nil && !a.p.stopped {
-					w.carry(a, a.p.m.Read(w.now, a.file))
+					w.carry(a, a.p.m.Roster(w.now, a.file))
 				}
 			},
 			"start": func(t *rapid.T) {
@@ -309,7 +309,7 @@
 				w.start(a)
 			}
 			a.p.stopped = false
-			w.carry(a, a.p.m.Read(w.now, a.file))
+			w.carry(a, a.p.m.Roster(w.now, a.file))
 		}
 		settle := func() {
 			for range 60 {
@@ -335,7 +335,7 @@
 			for _, name := range w.names() {
 				if a := w.machines[name]; a.p != nil {
 					a.file = w.roster
-					w.carry(a, a.p.m.Read(w.now, a.file))
+					w.carry(a, a.p.m.Roster(w.now, a.file))
 				}
 			}
 			settle()
@@ -364,18 +364,18 @@
 		})
 	}
 	now := epoch0
-	m.Read(now, Roster{Epoch: 1, Nodes: nodes("a", "b", "c")})
+	m.Roster(now, Roster{Epoch: 1, Nodes: nodes("a", "b", "c")})
 	r := *m.roster
 	change := func(list []Node, gone ...string) []Action {
 		var err error
 		if r, err = r.Next(list, gone); err != nil {
 			t.Fatal(err)
 		}
-		return m.Read(now, r)
+		return m.Roster(now, r)
 	}
 	change(nodes("a", "b", "c", "d"))
-	m.Heard(now, 1, Hello{Epoch: 2})
-	m.Heard(now, 3, Hello{Epoch: 2})
+	m.Heard(now, 1, Hello{Epoch: 2, Stage: Smaller})
+	m.Heard(now, 3, Hello{Epoch: 2, Stage: Smaller})
 	now = now.Add(31 * time.Second)
 	if !said(m.Tick(now), "numbers [2] have not said it") || m.Over() {
 		t.Error("nobody is told who holds the change up")
@@ -383,15 +383,17 @@
 	if change(nodes("a", "b", "c", "d", "e")); m.Over() || m.roster.Epoch != 2 {
 		t.Error("an epoch was taken before the last change was over")
 	}
-	if !said(m.Read(now, Roster{Epoch: 1, Nodes: nodes("a")}), "left aside") {
+	if !said(m.Roster(now, Roster{Epoch: 1, Nodes: nodes("a")}), "left aside") {
 		t.Error("an old roster was taken")
 	}
 	if change(nodes("a", "b", "f", "d"), "c"); m.roster.Epoch != 4 {
 		t.Error("the change was not over when who held it up was vouched for")
 	}
-	m.Heard(now, 1, Hello{Epoch: 4})
-	m.Heard(now, 2, Hello{Epoch: 4})
-	m.Heard(now, 3, Hello{Epoch: 4})
+	for _, s := range []Stage{Read, Smaller} {
+		m.Heard(now, 1, Hello{Epoch: 4, Stage: s})
+		m.Heard(now, 2, Hello{Epoch: 4, Stage: s})
+		m.Heard(now, 3, Hello{Epoch: 4, Stage: s})
+	}
 	if m.Over() {
 		t.Error("over without number 4, which leaves")
 	}
@@ -410,7 +412,7 @@
 	if m.Phase() != Starting {
 		t.Error("ready without a roster")
 	}
-	m.Read(epoch0, Roster{Epoch: 1, Nodes: nodes("a", "b")})
+	m.Roster(epoch0, Roster{Epoch: 1, Nodes: nodes("a", "b")})
 	if m.Phase() != Ready {
 		t.Error("not ready")
 	}
@@ -426,7 +428,7 @@
 	}
 	other := New(Settings{Name: "x"})
 	other.Listed()
-	if other.Read(epoch0, Roster{Epoch: 1, Nodes: nodes("a", "b")}); other.Phase() != Starting {
+	if other.Roster(epoch0, Roster{Epoch: 1, Nodes: nodes("a", "b")}); other.Phase() != Starting {
 		t.Error("ready though it is in no roster")
 	}
 }
@@ -435,7 +437,8 @@
 // second change before the first is over for them, or never read the first: what they
 // hold must fit beside the parts that the others got by the first.
 func TestTwoChanges(t *testing.T) {
-	for _, missed := range []bool{false, true} {
+	for variant := range 3 {
+		missed, deaf := variant == 1, variant == 2
 		rapid.Check(t, func(rt *rapid.T) {
 			w := &world{t: rt, now: epoch0, machines: map[string]*machine{}}
 			list := nodes("a", "b", "c", "d")
@@ -449,7 +452,7 @@
 					if a.file = w.roster; a.p == nil {
 						w.start(a)
 					}
-					w.carry(a, a.p.m.Read(w.now, a.file))
+					w.carry(a, a.p.m.Roster(w.now, a.file))
 				}
 				w.check()
 			}
@@ -472,6 +475,13 @@
 			w.roster = second
 			if read("c", "d"); !missed {
 				read("a", "b")
+				if deaf {
+					for range 3 {
+						mail("a", "c", "d") // b hears nothing, and holds its old part
+					}
+					return
+				}
+				mail("a", "b") // both hold the smaller parts now, and don't know it of each other
 				for range 3 {
 					mail("c", "d") // for them the change is over
 				}
@@ -489,6 +499,9 @@
 				rt.Fatal("the test does not get where it means to")
 			}
 			read("c", "d")
+			for range 3 {
+				mail("a")
+			}
 			for range 6 {
 				mail("a", "b", "c", "d")
 			}
