--- a/cmd/yardcleat/hunt.go
+++ b/cmd/yardcleat/hunt.go
@@ -142,11 +142,8 @@
 func (h *hunter) run() error {
 	ctx, stop := signal.NotifyContext(h.cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	src, err := day.Source("base")
-	if err != nil {
-		return err
-	}
-	if h.base, err = day.Parse(src, "base.hcl"); err != nil {
+	var err error
+	if h.base, err = day.Load("base"); err != nil {
 		return err
 	}
 	if h.pool, err = workers(); err != nil {
--- a/cmd/yardcleat/stalls.go
+++ b/cmd/yardcleat/stalls.go
@@ -22,10 +22,6 @@
 			"Late are attempts sent after their clients had left; needless are tries refused for want of time that had\n" +
 			"200 ms and more left, of those that the stop met or that came within 5 s after it. Simulated.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			src, err := day.Source("base")
-			if err != nil {
-				return err
-			}
 			pool, err := workers()
 			if err != nil {
 				return err
@@ -47,7 +43,7 @@
 					for i, way := range virtual.Ways {
 						for seed := range seeds {
 							wait.Go(func() {
-								s, err := day.Parse(src, "base.hcl")
+								s, err := day.Load("base")
 								if err != nil {
 									panic(err) // it comes with the program
 								}
--- a/day/script.go
+++ b/day/script.go
@@ -37,6 +37,15 @@
 // Source is the text of a script that comes with the program.
 func Source(name string) ([]byte, error) { return scripts.ReadFile("scripts/" + name + ".hcl") }
 
+// Load reads a script that comes with the program.
+func Load(name string) (*Script, error) {
+	src, err := Source(name)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(src, name+".hcl")
+}
+
 // Script is a day.
 type Script struct {
 	Extends   string   `hcl:"extends,optional"` // a script of the program, whose blocks and values come first
--- a/lab/hunt/hunt_test.go
+++ b/lab/hunt/hunt_test.go
@@ -11,11 +11,7 @@
 
 func base(t *testing.T) *day.Script {
 	t.Helper()
-	src, err := day.Source("base")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := day.Parse(src, "base.hcl")
+	s, err := day.Load("base")
 	if err != nil {
 		t.Fatal(err)
 	}
