--- a/cmd/yardcleat/hunt.go
+++ b/cmd/yardcleat/hunt.go
@@ -186,6 +186,15 @@
 				h.say("found after %d days", played)
 				return errors.New("a rule was broken")
 			}
+			if r.Stacks != "" && h.keep != "" {
+				// Shrinking one that waits for ever would take as long each time.
+				name := filepath.Join(h.keep, fmt.Sprintf("stacks-%d-%d", h.seed, played))
+				if err := errors.Join(os.WriteFile(name+".txt", []byte(r.Stacks), 0o644),
+					os.WriteFile(name+".hcl", days[i].Script.Source(), 0o644)); err != nil {
+					return err
+				}
+				continue
+			}
 			if err := h.find(ctx, days[i], o, words); err != nil {
 				return err
 			}
--- a/day/virtual/virtual.go
+++ b/day/virtual/virtual.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,7 @@
 	Report   *day.Report   `json:"report,omitempty"`
 	Features []string      `json:"features,omitempty"` // what the day reached
 	Error    string        `json:"error,omitempty"`    // the script's, or a panic's
+	Stacks   string        `json:"stacks,omitempty"`   // of a day that was not over in time
 	Took     time.Duration `json:"took"`
 }
 
@@ -166,7 +168,7 @@
 }
 
 func (h *head) Write(b []byte) (int, error) {
-	const most = 4096
+	const most = 1 << 20
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.b = append(h.b, b[:min(len(b), most-len(h.b))]...)
@@ -233,7 +235,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.Longest)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { w.cmd.Process.Kill() })
+	stop := context.AfterFunc(ctx, func() {
+		// Where it is not over in time, the worker's stacks say what it waits for.
+		const moment = 5 * time.Second
+		w.cmd.Process.Signal(syscall.SIGQUIT)
+		time.AfterFunc(moment, func() { w.cmd.Process.Kill() })
+	})
 	defer stop()
 	if _, err := w.in.Write(append(b, '\n')); err != nil {
 		p.end(w)
@@ -245,7 +252,7 @@
 			p.end(w)
 			switch {
 			case errors.Is(ctx.Err(), context.DeadlineExceeded):
-				return Result{Error: fmt.Sprintf("not over after %v", p.Longest)}, nil
+				return Result{Error: fmt.Sprintf("not over after %v", p.Longest), Stacks: w.err.String()}, nil
 			case ctx.Err() != nil:
 				return Result{}, ctx.Err()
 			}
--- a/gateway/frames_test.go
+++ b/gateway/frames_test.go
@@ -150,3 +150,24 @@
 		}
 	})
 }
+
+// A node is stopped just as it writes several answers on one connection, at any
+// moment: time goes on, and the answers are written when it does.
+func TestStoppedWhileWriting(t *testing.T) {
+	for at := 50 * time.Millisecond; at < 56*time.Millisecond; at += 250 * time.Microsecond {
+		inWorld(t, http2Listener, func(w *world) {
+			c := w.h2()
+			for id := uint32(1); id < 16; id += 2 {
+				c.request(id, true, "GET", "/records/1")
+			}
+			time.Sleep(at)
+			w.nodeHost.Pause()
+			time.Sleep(time.Second)
+			w.nodeHost.Resume()
+			if got := c.read(3 * time.Second); count(got, ": 200")+count(got, ": 429") < 4 {
+				t.Errorf("stopped after %v: %v", at, got)
+			}
+			c.nc.Close()
+		})
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,16 +23,17 @@
 // world is a gateway in a bubble of virtual time with two servers and an
 // authoriser around it.
 type world struct {
-	t       *testing.T
-	mem     *network.Memory
-	rack    *catalogue.Rack
-	servers []*catalogue.Server
-	auth    *authoriser.Server
-	node    *Gateway
-	client  *http.Client
-	host    *network.Host
-	closes  []func()
-	src     string // the node's configuration
+	t        *testing.T
+	mem      *network.Memory
+	rack     *catalogue.Rack
+	servers  []*catalogue.Server
+	auth     *authoriser.Server
+	node     *Gateway
+	client   *http.Client
+	host     *network.Host // the clients'
+	nodeHost *network.Host
+	closes   []func()
+	src      string // the node's configuration
 
 	mu   sync.Mutex
 	seen []audit.Seen
@@ -138,7 +139,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.node, err = Start(cfg, Options{Network: w.mem.Host("node"), Log: slog.New(slog.NewTextHandler(t.Output(), nil)), Seed: 1})
+		w.nodeHost = w.mem.Host("node")
+		w.node, err = Start(cfg, Options{Network: w.nodeHost, Log: slog.New(slog.NewTextHandler(t.Output(), nil)), Seed: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
