Racks count their window from sending: a repeat that waits is dropped

The gateway had sent the repeat inside the window, as the contract has it; the stand-in measured the window when work began, and servers slowed down had queued it beyond.

Measured: TestRepeatThatWaits, two effects with the old way, one now.

--- a/standin/catalogue/catalogue.go
+++ b/standin/catalogue/catalogue.go
@@ -262,7 +262,7 @@
 		panic(http.ErrAbortHandler) // waiting work is dropped
 	}
 	defer func() { <-s.cores }()
-	if c.Keyed && !s.o.Rack.first(seen.Key, time.Now()) {
+	if c.Keyed && !s.o.Rack.first(seen.Key, seen.At) { // the window counts from sending, not from work
 		seen.Dropped = true
 	} else {
 		// After a cancel running work goes on.
--- /dev/null
+++ b/standin/catalogue/catalogue_test.go
@@ -0,0 +1,63 @@
+package catalogue
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardcleat.example/yardcleat/audit"
+	"yardcleat.example/yardcleat/internal/network"
+)
+
+// A repeat that is sent within the window is dropped, however long it waits for a
+// core: the window counts from the sending of the first.
+func TestRepeatThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := network.NewMemory(time.Millisecond, 1)
+		host := m.Host("client")
+		rack := &Rack{Name: "r", Window: 500 * time.Millisecond}
+		seen := make(chan audit.Seen, 10)
+		var servers []*Server
+		for _, a := range []string{"10.0.0.1:80", "10.0.0.2:80"} {
+			s := New(Options{Name: a, Rack: rack, Cores: 1, Queue: 5, Record: func(s audit.Seen) { seen <- s },
+				Classes: []Class{{Name: "loan", Method: "POST", Prefix: "/", Work: 400 * time.Millisecond, Keyed: true}}})
+			l, err := m.Host(a).Listen(a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go s.Serve(l)
+			servers = append(servers, s)
+		}
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+			DialContext: func(ctx context.Context, _, a string) (net.Conn, error) { return host.Dial(ctx, a) }}}
+		send := func(address, key string) {
+			req, _ := http.NewRequest("POST", "http://"+address+"/", nil)
+			req.Header.Set("Idempotency-Key", key)
+			if res, err := client.Do(req); err == nil {
+				res.Body.Close()
+			}
+		}
+		go send("10.0.0.1:80", "k")
+		go send("10.0.0.2:80", "other")
+		time.Sleep(200 * time.Millisecond)
+		go send("10.0.0.2:80", "other 2") // the repeat waits for both
+		time.Sleep(100 * time.Millisecond)
+		send("10.0.0.2:80", "k")
+		effects := 0
+		for range 4 {
+			if s := <-seen; s.Key == "k" && s.Ran {
+				effects++
+			}
+		}
+		if effects != 1 {
+			t.Errorf("%d effects of one key", effects)
+		}
+		for _, s := range servers {
+			s.Kill()
+		}
+		time.Sleep(time.Minute)
+	})
+}
