--- a/day/run.go
+++ b/day/run.go
@@ -578,26 +578,27 @@
 // killTwice kills a node, starts it again, and kills it while it starts.
 func (d *stage) killTwice(ctx context.Context, f Fault) error {
 	from := time.Now()
-	d.mu.Lock()
-	n := d.nodes[f.Target]
-	d.mu.Unlock()
-	n.Kill()
-	sleep(ctx, dur(f.For))
-	n, err := d.o.Env.Start(f.Target, d.configs[f.Target])
-	if err != nil {
+	if err := d.restart(ctx, f.Target, dur(f.For)); err != nil {
 		return err
 	}
-	d.mu.Lock()
-	d.nodes[f.Target] = n
-	d.mu.Unlock()
 	sleep(ctx, dur(f.Arg))
-	err = d.killNode(ctx, f.Target, dur(f.For))
+	err := d.killNode(ctx, f.Target, dur(f.For))
 	d.down(f.Target, from, true)
 	return err
 }
 
 func (d *stage) killNode(ctx context.Context, i int, away time.Duration) error {
 	from := time.Now()
+	if err := d.restart(ctx, i, away); err != nil {
+		return err
+	}
+	err := d.ready()
+	d.down(i, from, true)
+	return err
+}
+
+// restart kills a node and starts it again after a time.
+func (d *stage) restart(ctx context.Context, i int, away time.Duration) error {
 	d.mu.Lock()
 	n := d.nodes[i]
 	d.mu.Unlock()
@@ -608,11 +609,9 @@
 		return err
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.nodes[i] = n
-	d.mu.Unlock()
-	err = d.ready()
-	d.down(i, from, true)
-	return err
+	return nil
 }
 
 func (d *stage) lose(share float64) {
--- a/day/virtual/virtual.go
+++ b/day/virtual/virtual.go
@@ -36,17 +36,14 @@
 
 // Result is what came of a day.
 type Result struct {
-	Report   *day.Report   `json:"report,omitempty"`
-	Features []string      `json:"features,omitempty"` // what the day reached
-	Error    string        `json:"error,omitempty"`    // the script's, or a panic's
-	Stacks   string        `json:"stacks,omitempty"`   // of a day that was not over in time
-	Took     time.Duration `json:"took"`
+	Report   *day.Report `json:"report,omitempty"`
+	Features []string    `json:"features,omitempty"` // what the day reached
+	Error    string      `json:"error,omitempty"`    // the script's, or a panic's
+	Stacks   string      `json:"stacks,omitempty"`   // of a day that was not over in time
 }
 
 // Play plays one day in a bubble of a test.
 func Play(t *testing.T, j Job) (res Result) {
-	begun := time.Now()
-	defer func() { res.Took = time.Since(begun) }()
 	s, err := day.Parse(j.Source, "day.hcl")
 	if err != nil {
 		return Result{Error: err.Error()}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,13 +11,13 @@
 	"hash/fnv"
 	"io/fs"
 	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
 	"github.com/zeebo/blake3"
 
 	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/internal/files"
 	"yardcleat.example/yardcleat/node"
 	"yardcleat.example/yardcleat/policy"
 )
@@ -98,21 +98,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), ".servers-*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name())
-	if _, err = f.Write(b); err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	if err != nil {
-		return err
-	}
-	return os.Rename(f.Name(), path)
+	return files.Replace(path, b)
 }
 
 // Recall reads a remembered list. It is nil, without an error, where there is
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,9 +124,7 @@
 		}
 	}
 	if cfg.Roster != nil {
-		if g.keep, err = g.newKeeper(); err != nil {
-			return g, err
-		}
+		g.keep = g.newKeeper()
 	}
 	if len(cfg.Peers.Addresses) > 0 || cfg.Roster != nil {
 		p := cfg.Peers
@@ -345,9 +343,6 @@
 	}
 }
 
-// Stall holds the node's loop up for a time; for tests.
-func (g *Gateway) Stall(d time.Duration) { g.node.Stall(d) }
-
 // Kill stops at once, as a killed process does: what is held is failed, and
 // nothing is saved.
 func (g *Gateway) Kill() {
--- a/gateway/member.go
+++ b/gateway/member.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/internal/files"
 	"yardcleat.example/yardcleat/member"
 	"yardcleat.example/yardcleat/peer"
 )
@@ -35,14 +36,14 @@
 }
 
 // newKeeper returns a keeper of a fleet by roster.
-func (g *Gateway) newKeeper() (*keeper, error) {
+func (g *Gateway) newKeeper() *keeper {
 	mem, err := recallMember(g.cfg.StateDir)
 	if err != nil {
 		g.o.Log.Warn("what was remembered of the roster is left aside; this node holds no part of ceilings until a change is over",
 			"error", err)
 	}
 	return &keeper{g: g, m: member.New(member.Settings{Name: g.cfg.Name, Memory: mem}),
-		do: make(chan func() []member.Action, memberQueue)}, nil
+		do: make(chan func() []member.Action, memberQueue)}
 }
 
 // run keeps the member until the context ends.
@@ -190,14 +191,5 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(dir, memberFile)
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(b)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
-	}
-	return os.Rename(path+".new", path)
+	return files.Replace(filepath.Join(dir, memberFile), b)
 }
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -13,6 +13,7 @@
 
 	"github.com/zeebo/blake3"
 
+	"yardcleat.example/yardcleat/internal/files"
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -48,11 +49,7 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(dir, memoryFile)
-	if err := os.WriteFile(path+".new", b, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(path+".new", path)
+	return files.Replace(filepath.Join(dir, memoryFile), b)
 }
 
 // readMemory reads what an earlier process wrote; nothing where there is none or it
--- a/lab/hunt/hunt.go
+++ b/lab/hunt/hunt.go
@@ -1,7 +1,6 @@
 package hunt
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 
@@ -137,6 +136,3 @@
 	d.Script = s
 	return d
 }
-
-// String is for messages.
-func (o Outcome) String() string { return fmt.Sprintf("broken %v", o.Broken) }
--- a/node/node.go
+++ b/node/node.go
@@ -372,9 +372,6 @@
 	})
 }
 
-// Stall holds the loop up for a time, as a stopped process is; for tests.
-func (n *Node) Stall(d time.Duration) { n.post(stall.Other, func() { time.Sleep(d) }) }
-
 // Break makes the module panic at its next event; for tests.
 func (n *Node) Break() { n.post(stall.Other, func() { n.gw = nil; n.feed(policy.Timer{}) }) }
 
