A real edge node: the platform's protocol on the node's own parts

Need: the users put the product into service on their platform, which speaks a protocol of its own and is measured on real sockets. Change: platform (configuration, life), platform/intake (requests and answers, no I/O), platform/discovery (lists, watch), peer.Bare (datagrams without a seal). front/http1 takes any intake and bounds the first request from connecting; upstream keeps connections by a server's name and start, within a number and an idle time; node tells when nothing more is done for a try.

--- a/cmd/yardcleat/main.go
+++ b/cmd/yardcleat/main.go
@@ -18,12 +18,13 @@
 	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/gateway"
 	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/platform"
 )
 
 func main() {
 	root := &cobra.Command{Use: "yardcleat", Short: "An API gateway that keeps quotas across a fleet",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serveCommand(), checkCommand(), dayCommand(), labCommand(), rosterCommand(), standinCommand())
+	root.AddCommand(serveCommand(), edgeCommand(), checkCommand(), dayCommand(), labCommand(), rosterCommand(), standinCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "yardcleat:", err)
 		os.Exit(1)
@@ -83,6 +84,13 @@
 	return c
 }
 
+func edgeCommand() *cobra.Command {
+	return &cobra.Command{Use: "edge", Short: "Run a node as an edge node of the users' platform", Args: cobra.NoArgs,
+		Long: "Run a node by the platform's configuration, in the file that NODE_CONFIG names, until SIGTERM;\n" +
+			"SIGHUP has it read again. The command edge is this alone, for small machines.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return platform.Run(cmd.Context(), cmd.ErrOrStderr()) }}
+}
+
 func serve(ctx context.Context, cfg *config.Config, drain time.Duration) error {
 	if cfg.StateDir != "" {
 		if err := os.MkdirAll(cfg.StateDir, 0o700); err != nil {
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/internal/pulse"
@@ -25,14 +24,22 @@
 	Take(t *node.Try, reply func(node.Answer)) (gone func())
 }
 
+// Intake turns calls into Tries and Answers into responses; an *intake.Intake is
+// one. Admit may give the answer at once.
+type Intake interface {
+	Admit(c node.Call, trace string) (*node.Try, *node.Answer)
+	Render(t *node.Try, a node.Answer) *node.Response
+}
+
 // Options is what a Server is made of.
 type Options struct {
 	Node   Taker
-	Intake *intake.Intake
+	Intake Intake
 	Log    *slog.Logger
 	Name   string // begins the traces of requests that bring none
 	Limits http1.Limits
 
+	FirstTime   time.Duration // from connecting to the first request, whole; 0: as for the others
 	HeaderTime  time.Duration // from a request's first byte to its whole header
 	BodyTime    time.Duration // and on to its whole body
 	IdleTime    time.Duration // a connection without a request is closed after it
@@ -45,7 +52,8 @@
 	o       Options
 	mu      sync.Mutex
 	conns   map[*conn]bool
-	closing bool
+	closing bool // connections close after the answer under way
+	ended   bool // and no new ones are taken
 	done    sync.WaitGroup
 	traces  atomic.Uint64
 }
@@ -62,7 +70,7 @@
 func (s *Server) ServeConn(nc net.Conn) {
 	c := &conn{s: s, nc: nc, r: http1.NewReader(nc, s.o.Limits), answers: make(chan node.Answer, 1)}
 	s.mu.Lock()
-	full := len(s.conns) >= s.o.Connections || s.closing
+	full := len(s.conns) >= s.o.Connections || s.ended
 	if !full {
 		s.conns[c] = true
 		s.done.Add(1)
@@ -81,16 +89,29 @@
 	return s.closing
 }
 
-// Drain closes idle connections, and the others after the answer under way.
-// It returns when all are closed; when the context ends they are cut.
-func (s *Server) Drain(ctx context.Context) {
+// Closing closes idle connections, and the others after the answer under way; new
+// ones are taken for one request each.
+func (s *Server) Closing() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.close()
+}
+
+func (s *Server) close() {
 	s.closing = true
 	for c := range s.conns {
 		if !c.busy {
 			c.nc.SetReadDeadline(time.Now())
 		}
 	}
+}
+
+// Drain is Closing, and takes no new connections. It returns when all are closed;
+// when the context ends they are cut.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.close()
+	s.ended = true
 	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		s.mu.Lock()
@@ -110,6 +131,7 @@
 	busy    bool      // a request is under way; under the server's lock
 	began   time.Time // when the first byte of the request under way arrived
 	next    time.Time // and of one that came while another was under way; zero: none did
+	first   time.Time // its first request must be whole by then; zero: it was, or need not
 	buf     []byte
 	answers chan node.Answer
 }
@@ -123,6 +145,15 @@
 	return !c.s.closing
 }
 
+// within bounds what is read from now on.
+func (c *conn) within(d time.Duration) {
+	at := time.Now().Add(d)
+	if !c.first.IsZero() && c.first.Before(at) {
+		at = c.first
+	}
+	c.nc.SetReadDeadline(at)
+}
+
 func (c *conn) serve() {
 	defer func() {
 		c.nc.Close()
@@ -131,9 +162,12 @@
 		c.s.mu.Unlock()
 		c.s.done.Done()
 	}()
+	if c.s.o.FirstTime > 0 {
+		c.first = time.Now().Add(c.s.o.FirstTime)
+	}
 	for {
-		c.nc.SetReadDeadline(time.Now().Add(c.s.o.IdleTime))
-		if !c.setBusy(false) && c.r.Buffered() == 0 {
+		c.within(c.s.o.IdleTime)
+		if !c.setBusy(false) && c.r.Buffered() == 0 && c.first.IsZero() {
 			return
 		}
 		if c.r.Buffered() == 0 {
@@ -149,12 +183,13 @@
 		if !c.one() {
 			return
 		}
+		c.first = time.Time{}
 	}
 }
 
 // one serves one request; false where the connection is to be closed.
 func (c *conn) one() bool {
-	c.nc.SetReadDeadline(time.Now().Add(c.s.o.HeaderTime))
+	c.within(c.s.o.HeaderTime)
 	req, err := c.r.Request()
 	if err != nil {
 		return c.refuse(req, err)
@@ -171,7 +206,7 @@
 		}
 	}
 	if req.Framing != http1.NoBody {
-		c.nc.SetReadDeadline(time.Now().Add(c.s.o.BodyTime))
+		c.within(c.s.o.BodyTime)
 		if call.Body, err = c.r.Body(req.Framing, req.Length); err != nil {
 			return c.refuse(req, err)
 		}
--- a/internal/pulse/sockets.go
+++ b/internal/pulse/sockets.go
@@ -205,6 +205,9 @@
 	return n, err
 }
 
+// Readable tells whether the connection holds bytes that were not read, or its end.
+func (c *conn) Readable() bool { return c.s.probe() }
+
 func (c *conn) sawEmpty() { c.s.sawEmpty(c.s.c.Now()) }
 
 func isTimeout(err error) bool {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -38,8 +38,9 @@
 var groups = map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll,
 	"zone": policy.GroupZone, "cell": policy.GroupCell}
 
+// settings reads the pairs of a CONFIGURE line.
 func settings(pairs []string) (policy.Settings, error) {
-	f := facts{m: make(map[string]string, len(pairs))}
+	m := make(map[string]string, len(pairs))
 	for _, p := range pairs {
 		if p == "" {
 			continue
@@ -48,8 +49,15 @@
 		if !ok {
 			return policy.Settings{}, fmt.Errorf("setting %q has no value", clip(p))
 		}
-		f.m[k] = v
+		m[k] = v
 	}
+	return Settings(m)
+}
+
+// Settings reads settings by their paths: "caps.cancel", "classes.0.name". The
+// error names the key.
+func Settings(m map[string]string) (policy.Settings, error) {
+	f := facts{m: m}
 	s := policy.Settings{
 		Me: f.int("me"), Gateways: f.int("balancers"), Zone: f.m["zone"],
 		Resolution: f.ms("tick_ms"), MaxAttempts: f.int("caps.max_attempts"),
--- a/node/node.go
+++ b/node/node.go
@@ -24,12 +24,14 @@
 	Authoriser Authoriser // nil where no class is put to one
 	Authz      *authz.Decider
 	Tell       func(to int, data []byte) // to a peer; must not block
+	TellAll    bool                      // Tell takes a number below 0: all peers
 	Margin     time.Duration             // answers leave so long before the client gives up
 	Most       int                       // requests not answered yet
 	Base       time.Time                 // the node's time 0; zero: now
 	Ledger     Ledger                    // nil: none
 	Clock      Clock                     // nil: one that finds no gaps
 	Stall      stall.Settings            // zero: stall.Default
+	Forgotten  func(*Try)                // nothing more is done for a try; nil: nobody is told
 }
 
 // Clock tells the time since Options.Base, and where the process did not run.
@@ -80,7 +82,7 @@
 	fifo    []policy.Event // for the module, those before head done
 	head    int
 	acts    []policy.Action
-	servers map[policy.ServerID]string
+	servers map[policy.ServerID]Server
 	list    []policy.Server // the last whole list, for a module made anew
 }
 
@@ -139,7 +141,7 @@
 		o.Stall = stall.Default()
 	}
 	return &Node{o: o, base: o.Base, gw: gw, barrier: stall.NewBarrier(o.Stall), seed: o.Seed, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1),
-		reqs: map[policy.RequestID]*request{}, servers: map[policy.ServerID]string{}}, nil
+		reqs: map[policy.RequestID]*request{}, servers: map[policy.ServerID]Server{}}, nil
 }
 
 // post gives the loop something to do.
@@ -292,6 +294,7 @@
 		}
 		a := Answer{Kind: Refused, Reason: why, RetryAfter: n.o.Settings.MaxRetryAfter}
 		n.line(t, a, 0, 0, "")
+		n.forgotten(t)
 		reply(a)
 		return func() {}
 	}
@@ -353,7 +356,7 @@
 			if !s.Started.IsZero() {
 				s.HasStart, s.Start = true, s.Started.Sub(n.base)
 			}
-			n.servers[s.ID] = s.Address
+			n.servers[s.ID] = s
 			m.Servers = append(m.Servers, s.Server)
 		}
 		if kind == policy.Whole || kind == policy.Remembered {
@@ -610,7 +613,7 @@
 	case policy.SetTimer:
 		n.wheel.Add(n.now+a.After, func() { n.feed(policy.Timer{Token: a.Token}) })
 	case policy.Tell:
-		if a.To >= 0 {
+		if a.To >= 0 || n.o.TellAll {
 			n.o.Tell(a.To, a.Data)
 			break
 		}
@@ -648,13 +651,13 @@
 	r.limit = n.wheel.Add(n.now+left, func() {
 		n.attemptEnded(r, attempt, Result{Code: policy.TimedOut, Detail: "no answer in time"})
 	})
-	address := n.servers[a.Server]
+	to := n.servers[a.Server]
 	if r.try.Proxied {
-		n.answer(r, Answer{Kind: Served, Go: &Go{ID: r.id, Attempt: attempt, Server: address, Timeout: left,
+		n.answer(r, Answer{Kind: Served, Go: &Go{ID: r.id, Attempt: attempt, Server: to.Address, Timeout: left,
 			Allowed: r.allowed}})
 		return
 	}
-	r.cancel = n.o.Upstream.Start(Attempt{ID: r.id, Number: attempt, Address: address, Timeout: left, Try: r.try, Decided: n.base.Add(n.now)},
+	r.cancel = n.o.Upstream.Start(Attempt{ID: r.id, Number: attempt, Address: to.Address, Key: to.Key, Timeout: left, Try: r.try, Decided: n.base.Add(n.now)},
 		func(res Result) {
 			n.post(stall.Ended, func() {
 				if r.live && attempt == r.attempts-1 {
@@ -763,6 +766,9 @@
 
 // line logs a final answer.
 func (n *Node) line(t *Try, a Answer, took time.Duration, attempts int, detail string) {
+	if !n.o.Log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
 	kind := a.Kind.String()
 	if a.Go != nil {
 		kind = "let pass"
@@ -791,6 +797,13 @@
 func (n *Node) forget(r *request) {
 	r.timer.Stop()
 	delete(n.reqs, r.id)
+	n.forgotten(r.try)
+}
+
+func (n *Node) forgotten(t *Try) {
+	if n.o.Forgotten != nil {
+		n.o.Forgotten(t)
+	}
 }
 
 // reason names the module's reason, or how the last attempt ended.
--- a/node/types.go
+++ b/node/types.go
@@ -111,6 +111,7 @@
 	ID      policy.RequestID
 	Number  int // attempts of a request count from 0
 	Address string
+	Key     string        // names the server and its start, for its connections; "": the address does
 	Timeout time.Duration // told to the server; the node ends the attempt itself
 	Try     *Try
 	Decided time.Time // when the module said so
@@ -156,5 +157,6 @@
 type Server struct {
 	policy.Server // Start is not used: see Started
 	Address       string
+	Key           string    // names it and its start, for connections to it; "": the address does
 	Started       time.Time // wall clock; zero: not known
 }
--- a/upstream/ends.go
+++ b/upstream/ends.go
@@ -46,13 +46,15 @@
 // request did not run: a status with a header field. Zero: none does.
 type TurnedAway struct {
 	Status int
+	Also   int    // another status that proves it; 0: none
 	Header string // in canonical form
+	Only   int    // the one status that is an answer, all others are errors; 0: all below 500 are
 }
 
 // Is tells whether a response is such a one; has looks a field up by its name
 // in lower case.
 func (t TurnedAway) Is(status int, has func(lower string) bool) bool {
-	return t.Status != 0 && status == t.Status && has(strings.ToLower(t.Header))
+	return t.Status != 0 && (status == t.Status || status == t.Also) && has(strings.ToLower(t.Header))
 }
 
 // code is what a whole response says. A status below 500 is the answer to the
@@ -61,7 +63,7 @@
 	switch {
 	case t.Is(res.Status, func(string) bool { return res.Header.Has(t.Header) }):
 		return policy.Full
-	case res.Status >= 500:
+	case t.Only != 0 && res.Status != t.Only, t.Only == 0 && res.Status >= 500:
 		return policy.Error
 	}
 	return policy.OK
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -2,9 +2,12 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +24,9 @@
 	Limits      http1.Limits  // of responses
 	ConnectTime time.Duration // to connect to a server
 	Idle        int           // idle connections kept to each server
+	IdleTime    time.Duration // one idle for longer is closed, not used; 0: any time
+	Most        int           // connections at most, over HTTP/1.1; 0: any number
+	Patience    string        // field that states an attempt's time-out in ms; "": none
 	TurnedAway  TurnedAway
 	HTTP2       bool // servers speak HTTP/2, by prior knowledge
 	// Stood tells whether the process stood still after a time; nil: it never
@@ -33,7 +39,9 @@
 type Pool struct {
 	o      Options
 	mu     sync.Mutex
-	idle   map[string][]*conn // by address; the last used goes first
+	idle   map[string][]*conn // by server; the last used goes first
+	open   int                // connections over HTTP/1.1, those being made among them
+	swept  time.Time          // when idle ones were last looked through
 	h2     map[string][]*h2conn
 	closed bool
 	conns  sync.WaitGroup
@@ -116,9 +124,17 @@
 
 func (t *attempt) run(ctx context.Context) {
 	call := &t.Try.Call
-	buf := http1.AppendRequest(nil, call.Method, call.Target, call.Host, call.Header, call.Body)
+	header := call.Header
+	if t.p.o.Patience != "" {
+		header = append(header[:len(header):len(header)], http1.Field{Name: t.p.o.Patience, Value: strconv.FormatInt(t.Timeout.Milliseconds(), 10)})
+	}
+	buf := http1.AppendRequest(nil, call.Method, call.Target, call.Host, header, call.Body)
 	for {
 		c, fresh, err := t.connect(ctx)
+		if err == errMost {
+			t.end(full, false)
+			return
+		}
 		if err != nil {
 			code, detail := ended(notConnected, err)
 			t.end(node.Result{Code: code, Detail: detail}, false)
@@ -168,6 +184,12 @@
 // its server drain.
 var moot = node.Result{Code: policy.Moot, Detail: "too late to send"}
 
+// full is how an attempt ends for want of a connection of this node's own; it says
+// nothing of the server.
+var full = node.Result{Code: policy.Moot, Detail: "no connection to spare"}
+
+var errMost = errors.New("upstream: all connections are in use")
+
 func (t *attempt) late() bool {
 	return t.Timeout > 0 && time.Since(t.start) >= t.Timeout || t.p.o.Stood != nil && t.p.o.Stood(t.Decided)
 }
@@ -181,16 +203,23 @@
 	return max(1, at.Sub(t.Decided))
 }
 
+// key names the server that the attempt's connections belong to.
+func (t *attempt) key() string { return cmp.Or(t.Key, t.Address) }
+
 // connect takes a kept connection or makes one.
 func (t *attempt) connect(ctx context.Context) (c *conn, fresh bool, err error) {
-	if c := t.p.take(t.Address); c != nil {
+	if c := t.p.take(t.key()); c != nil {
 		return c, false, nil
 	}
+	if !t.p.room() {
+		return nil, true, errMost
+	}
 	nc, err := t.p.o.Network.Dial(ctx, t.Address)
 	if err != nil {
+		t.p.closed1()
 		return nil, true, err
 	}
-	return t.p.open(t.Address, nc), true, nil
+	return t.p.connection(t.key(), nc), true, nil
 }
 
 // written notes that the whole request has left. Where the response was quicker
@@ -204,43 +233,109 @@
 	}
 }
 
-// take takes an idle connection to an address, or nil.
-func (p *Pool) take(address string) *conn {
+// take takes an idle connection to a server, or nil. What has lain idle for too
+// long, or holds what nobody asked for, is closed instead.
+func (p *Pool) take(key string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	now := time.Now()
+	for {
+		list := p.idle[key]
+		if len(list) == 0 {
+			return nil
+		}
+		c := list[len(list)-1]
+		list[len(list)-1] = nil
+		p.idle[key] = list[:len(list)-1]
+		r, ok := c.nc.(interface{ Readable() bool })
+		if p.stale(c, now) || ok && r.Readable() {
+			c.nc.Close()
+			continue
+		}
+		return c
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return c
 }
 
-// keep puts a connection back, or closes it.
+func (p *Pool) stale(c *conn, now time.Time) bool {
+	return p.o.IdleTime > 0 && now.Sub(c.since) >= p.o.IdleTime
+}
+
+// room counts one more connection; where there are too many the longest idle one
+// goes. It is false where none is idle.
+func (p *Pool) room() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.o.Most > 0 && p.open >= p.o.Most {
+		oldest := ""
+		for key, list := range p.idle {
+			if len(list) > 0 && (oldest == "" || list[0].since.Before(p.idle[oldest][0].since)) {
+				oldest = key
+			}
+		}
+		if oldest == "" {
+			return false
+		}
+		p.idle[oldest][0].nc.Close()
+		p.idle[oldest] = p.idle[oldest][1:]
+	}
+	p.open++
+	return true
+}
+
+// closed1 counts one connection less.
+func (p *Pool) closed1() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// keep puts a connection back, or closes it. Once in a while it looks for others
+// that have been idle for too long.
 func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.address]) >= p.o.Idle {
+	now := time.Now()
+	if c.since = now; p.o.IdleTime > 0 && now.Sub(p.swept) >= time.Second {
+		p.swept = now
+		for key, list := range p.idle {
+			n := 0
+			for n < len(list) && p.stale(list[n], now) {
+				list[n].nc.Close()
+				n++
+			}
+			p.idle[key] = list[n:]
+		}
+	}
+	if p.closed || len(p.idle[c.key]) >= p.o.Idle {
 		c.nc.Close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
+// Leave closes the idle connections to a server that is gone.
+func (p *Pool) Leave(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[key] {
+		c.nc.Close()
+	}
+	delete(p.idle, key)
 }
 
 func (p *Pool) drop(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[c.address]
+	p.open--
+	list := p.idle[c.key]
 	for i := range list {
 		if list[i] == c {
-			p.idle[c.address] = append(list[:i], list[i+1:]...)
+			p.idle[c.key] = append(list[:i], list[i+1:]...)
 			break
 		}
 	}
-	if len(p.idle[c.address]) == 0 {
-		delete(p.idle, c.address)
+	if len(p.idle[c.key]) == 0 {
+		delete(p.idle, c.key)
 	}
 }
 
@@ -265,18 +360,19 @@
 // conn is one connection, with a goroutine that reads from it, idle or not: a
 // server that closes it is noticed before a request is lost on it.
 type conn struct {
-	p       *Pool
-	address string
-	nc      net.Conn
-	r       *http1.Reader
+	p     *Pool
+	key   string // of its server
+	nc    net.Conn
+	r     *http1.Reader
+	since time.Time // when it was last used; under the pool's lock
 
 	mu  sync.Mutex
 	t   *attempt // whose response is awaited
 	bad bool     // it has ended
 }
 
-func (p *Pool) open(address string, nc net.Conn) *conn {
-	c := &conn{p: p, address: address, nc: nc, r: http1.NewReader(nc, p.o.Limits)}
+func (p *Pool) connection(key string, nc net.Conn) *conn {
+	c := &conn{p: p, key: key, nc: nc, r: http1.NewReader(nc, p.o.Limits)}
 	p.conns.Add(1)
 	go c.read()
 	return c
