Edge: an idle connection makes room for a new one where all are taken

At fault: Server.ServeConn in front/http1 closed the new one where Connections were taken, whatever the others did. Change: front/http1/room.go (no I/O) keeps idle connections in order; one that says nothing goes first, then one that has asked, after the 2 s that the platform states. Without Yield all is as before.

--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -45,6 +45,7 @@
 	IdleTime    time.Duration // a connection without a request is closed after it
 	WriteTime   time.Duration // for a client to take an answer
 	Connections int
+	Yield       time.Duration // with all Connections taken, one without a request for so long makes room for a new one; 0: none does
 }
 
 // Server serves connections.
@@ -52,6 +53,7 @@
 	o       Options
 	mu      sync.Mutex
 	conns   map[*conn]bool
+	room    room
 	closing bool // connections close after the answer under way
 	ended   bool // and no new ones are taken
 	done    sync.WaitGroup
@@ -59,7 +61,9 @@
 }
 
 // New returns a Server.
-func New(o Options) *Server { return &Server{o: o, conns: map[*conn]bool{}} }
+func New(o Options) *Server {
+	return &Server{o: o, conns: map[*conn]bool{}, room: room{most: o.Connections, yield: o.Yield}}
+}
 
 // Serve takes connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
@@ -69,14 +73,22 @@
 // ServeConn serves one connection until it ends.
 func (s *Server) ServeConn(nc net.Conn) {
 	c := &conn{s: s, nc: nc, r: http1.NewReader(nc, s.o.Limits), answers: make(chan node.Answer, 1)}
+	c.seat.conn = c
 	s.mu.Lock()
-	full := len(s.conns) >= s.o.Connections || s.ended
-	if !full {
+	ok := false
+	if !s.ended {
+		var victim *conn
+		if ok, victim = s.room.enter(time.Now()); victim != nil {
+			victim.out = true
+			victim.nc.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	if ok {
 		s.conns[c] = true
 		s.done.Add(1)
 	}
 	s.mu.Unlock()
-	if full {
+	if !ok {
 		nc.Close()
 		return
 	}
@@ -128,7 +140,9 @@
 	s       *Server
 	nc      net.Conn
 	r       *http1.Reader
-	busy    bool      // a request is under way; under the server's lock
+	seat    seat      // under the server's lock, as are the next two
+	busy    bool      // a request is under way
+	out     bool      // it makes room for another
 	began   time.Time // when the first byte of the request under way arrived
 	next    time.Time // and of one that came while another was under way; zero: none did
 	first   time.Time // its first request must be whole by then; zero: it was, or need not
@@ -142,6 +156,15 @@
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	c.busy = busy
+	switch {
+	case c.out:
+		return false
+	case busy:
+		c.s.room.busy(&c.seat)
+		c.seat.asked = true
+	default:
+		c.s.room.idle(&c.seat, time.Now())
+	}
 	return !c.s.closing
 }
 
@@ -159,6 +182,9 @@
 		c.nc.Close()
 		c.s.mu.Lock()
 		delete(c.s.conns, c)
+		if !c.out {
+			c.s.room.leave(&c.seat)
+		}
 		c.s.mu.Unlock()
 		c.s.done.Done()
 	}()
@@ -179,7 +205,9 @@
 		if c.began.IsZero() {
 			c.began = pulse.Arrived(c.nc)
 		}
-		c.setBusy(true)
+		if !c.setBusy(true) && c.out {
+			return
+		}
 		if !c.one() {
 			return
 		}
