--- a/front/http1/room.go
+++ b/front/http1/room.go
@@ -6,13 +6,15 @@
 )
 
 // room keeps the connections without an open request in the order in which they
-// fell idle, and says which of them makes room for a new one.
+// came to be so, and says which of them makes room for a new one.
 type room struct {
-	most   int           // connections
-	yield  time.Duration // one that has asked keeps its place for so long after its answer; 0: for good
-	n      int
-	silent list.List // that have not asked yet, longest first
-	kept   list.List // that have
+	most    int           // connections
+	yield   time.Duration // one that has asked gives way first after so long without a request; 0: none ever does
+	spare   int           // of those that have asked, this many may lie idle; 0: any number
+	n       int
+	asking  list.List        // that have not sent a whole request since they came, or since they began one; longest first
+	kept    list.List        // whose requests are answered
+	holding func(*conn) bool // whether something of it is not read yet
 }
 
 // seat is a connection's place in a room. The zero seat is of one with an open
@@ -22,12 +24,16 @@
 	in    *list.List
 	e     *list.Element
 	since time.Time
-	asked bool
 }
 
-// Clients send as they connect: one that says nothing for this part of yield is not
-// about to.
-const silentYield = 8
+const (
+	// Clients send as they connect, and whole requests: one that does not for this
+	// part of yield is not about to. Where that is not enough, those that have asked
+	// go as early; they are the longest idle ones, and a client that comes back to
+	// one asks again on another.
+	early = 8
+	looks = 4 // at connections of a kind, for one that holds nothing unread
+)
 
 // enter counts a new connection; false where there is no room, victim is one that
 // makes room for it by leaving.
@@ -42,39 +48,67 @@
 	for _, l := range []struct {
 		list *list.List
 		keep time.Duration
-	}{{&r.silent, r.yield / silentYield}, {&r.kept, r.yield}} {
-		if e := l.list.Front(); e != nil {
-			if s := e.Value.(*seat); now.Sub(s.since) >= l.keep {
-				r.busy(s)
+	}{{&r.asking, r.yield / early}, {&r.kept, r.yield}, {&r.kept, r.yield / early}} {
+		e := l.list.Front()
+		for n := 0; n < looks && e != nil; n++ {
+			s := e.Value.(*seat)
+			if now.Sub(s.since) < l.keep {
+				break
+			}
+			if !r.holding(s.conn) {
+				r.open(s)
 				return true, s.conn
 			}
+			e = e.Next()
 		}
 	}
 	return false, nil
 }
 
-// idle notes that a connection has no open request from now on.
-func (r *room) idle(s *seat, now time.Time) {
-	if s.in != nil {
-		return
+// comes notes that a connection came, or began a request.
+func (r *room) comes(s *seat, now time.Time) {
+	if s.in != &r.asking {
+		r.open(s)
+		r.sits(s, &r.asking, now)
+	}
+}
+
+// idle notes that a connection's request is answered. Where too many lie idle the
+// longest idle one is to leave.
+func (r *room) idle(s *seat, now time.Time) (victim *conn) {
+	r.open(s)
+	r.sits(s, &r.kept, now)
+	if r.spare == 0 || r.kept.Len() <= r.spare {
+		return nil
 	}
-	s.in, s.since = &r.silent, now
-	if s.asked {
-		s.in = &r.kept
+	e := r.kept.Front()
+	for n := 0; n < looks && e != nil; n++ {
+		if v := e.Value.(*seat); v != s && !r.holding(v.conn) {
+			r.leave(v)
+			return v.conn
+		}
+		e = e.Next()
 	}
-	s.e = s.in.PushBack(s)
+	return nil
 }
 
-// busy notes that a connection has one, or leaves.
-func (r *room) busy(s *seat) {
+func (r *room) sits(s *seat, l *list.List, now time.Time) {
+	s.in, s.since, s.e = l, now, l.PushBack(s)
+}
+
+// open notes that a connection has an open request, or leaves.
+func (r *room) open(s *seat) {
 	if s.in != nil {
 		s.in.Remove(s.e)
 	}
 	s.in, s.e = nil, nil
 }
 
+// stays counts a connection that was to make room, and has a request open after all.
+func (r *room) stays() { r.n++ }
+
 // leave counts a connection less.
 func (r *room) leave(s *seat) {
-	r.busy(s)
+	r.open(s)
 	r.n--
 }
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -45,6 +45,7 @@
 	IdleTime    time.Duration // a connection without a request is closed after it
 	WriteTime   time.Duration // for a client to take an answer
 	Connections int
+	Spare       int           // connections that may lie idle between requests; more are closed, longest idle first; 0: any number
 	Yield       time.Duration // with all Connections taken, one without a request for so long makes room for a new one; 0: none does
 }
 
@@ -62,7 +63,7 @@
 
 // New returns a Server.
 func New(o Options) *Server {
-	return &Server{o: o, conns: map[*conn]bool{}, room: room{most: o.Connections, yield: o.Yield}}
+	return &Server{o: o, conns: map[*conn]bool{}, room: room{most: o.Connections, yield: o.Yield, spare: o.Spare, holding: holding}}
 }
 
 // Serve takes connections until the listener is closed.
@@ -79,11 +80,11 @@
 	if !s.ended {
 		var victim *conn
 		if ok, victim = s.room.enter(time.Now()); victim != nil {
-			victim.out = true
-			victim.nc.SetReadDeadline(time.Unix(1, 0))
+			victim.leave()
 		}
 	}
 	if ok {
+		s.room.comes(&c.seat, time.Now())
 		s.conns[c] = true
 		s.done.Add(1)
 	}
@@ -143,6 +144,7 @@
 	seat    seat      // under the server's lock, as are the next two
 	busy    bool      // a request is under way
 	out     bool      // it makes room for another
+	asked   bool      // it has sent a whole request
 	began   time.Time // when the first byte of the request under way arrived
 	next    time.Time // and of one that came while another was under way; zero: none did
 	first   time.Time // its first request must be whole by then; zero: it was, or need not
@@ -156,18 +158,43 @@
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	c.busy = busy
-	switch {
-	case c.out:
+	if c.out {
 		return false
-	case busy:
-		c.s.room.busy(&c.seat)
-		c.seat.asked = true
-	default:
-		c.s.room.idle(&c.seat, time.Now())
+	}
+	if busy {
+		c.s.room.comes(&c.seat, time.Now())
+	} else if c.asked {
+		if victim := c.s.room.idle(&c.seat, time.Now()); victim != nil {
+			victim.leave()
+		}
 	}
 	return !c.s.closing
 }
 
+// leave has an idle connection end; under the server's lock.
+func (c *conn) leave() {
+	c.out = true
+	c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// taken notes that a whole request has come: it is answered, also where the
+// connection was to make room.
+func (c *conn) taken() {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if c.asked = true; c.out {
+		c.out = false
+		c.s.room.stays()
+	}
+	c.s.room.open(&c.seat)
+}
+
+// holding tells whether a connection holds bytes that were not read.
+func holding(c *conn) bool {
+	r, ok := c.nc.(interface{ Readable() bool })
+	return ok && r.Readable()
+}
+
 // within bounds what is read from now on.
 func (c *conn) within(d time.Duration) {
 	at := time.Now().Add(d)
@@ -239,6 +266,7 @@
 			return c.refuse(req, err)
 		}
 	}
+	c.taken()
 	return c.answer(req, call)
 }
 
