--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -287,6 +287,10 @@
 	}
 	res := c.s.o.Intake.Render(t, a)
 	closing := !req.KeepAlive() || c.s.draining()
+	if len(res.Body) > longBody && req.Method != "HEAD" {
+		c.buf = http1.AppendResponseHead(c.buf[:0], req.Method, res.Status, res.Header, len(res.Body), closing)
+		return c.writeLong(res.Body) && !closing
+	}
 	c.buf = http1.AppendResponse(c.buf[:0], req.Method, res.Status, res.Header, res.Body, closing)
 	return c.write(c.buf) && !closing
 }
@@ -371,6 +375,18 @@
 	io.CopyN(io.Discard, c.nc, most)
 }
 
+// longBody is the length of bodies that are not copied behind their heads, so that
+// a connection's buffer stays small.
+const longBody = 16 << 10
+
+// writeLong writes the head in the buffer and a body behind it.
+func (c *conn) writeLong(body []byte) bool {
+	c.nc.SetWriteDeadline(time.Now().Add(c.s.o.WriteTime))
+	bufs := net.Buffers{c.buf, body}
+	_, err := bufs.WriteTo(c.nc)
+	return err == nil
+}
+
 func (c *conn) write(b []byte) bool {
 	c.nc.SetWriteDeadline(time.Now().Add(c.s.o.WriteTime))
 	_, err := c.nc.Write(b)
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -29,6 +29,15 @@
 // AppendResponse appends a response with a body of known length. To a HEAD
 // request, and with statuses that have no body, the body stays out.
 func AppendResponse(b []byte, method string, status int, h Header, body []byte, closing bool) []byte {
+	b = AppendResponseHead(b, method, status, h, len(body), closing)
+	if status == 204 || status == 304 || method == "HEAD" {
+		return b
+	}
+	return append(b, body...)
+}
+
+// AppendResponseHead is AppendResponse without the body, of a length.
+func AppendResponseHead(b []byte, method string, status int, h Header, length int, closing bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
@@ -37,18 +46,13 @@
 	for _, f := range h {
 		b = appendField(b, f)
 	}
-	none := status == 204 || status == 304
-	if !none && method != "HEAD" {
-		b = appendLength(b, len(body))
+	if status != 204 && status != 304 && method != "HEAD" {
+		b = appendLength(b, length)
 	}
 	if closing {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	if none || method == "HEAD" {
-		return b
-	}
-	return append(b, body...)
+	return append(b, "\r\n"...)
 }
 
 func appendField(b []byte, f Field) []byte {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/http1"
@@ -26,6 +27,7 @@
 	Idle        int           // idle connections kept to each server
 	IdleTime    time.Duration // one idle for longer is closed, not used; 0: any time
 	Most        int           // connections at most, over HTTP/1.1; 0: any number
+	Held        int64         // bytes of long bodies being read, all together; 0: any number
 	Patience    string        // field that states an attempt's time-out in ms; "": none
 	TurnedAway  TurnedAway
 	HTTP2       bool // servers speak HTTP/2, by prior knowledge
@@ -41,6 +43,7 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn // by server; the last used goes first
 	open   int                // connections over HTTP/1.1, those being made among them
+	held   atomic.Int64       // bytes of long bodies being read
 	swept  time.Time          // when idle ones were last looked through
 	trust  trust
 	base   time.Time // trust's time 0
@@ -454,7 +457,13 @@
 		t.end(node.Result{Code: code, Detail: detail}, false)
 		return false
 	}
+	long := c.p.long(head)
+	if !c.p.hold(long) {
+		t.end(tooMuch, false)
+		return false
+	}
 	body, err := c.r.Body(head.Framing, head.Length)
+	c.p.held.Add(-long)
 	if err != nil {
 		code, detail := ended(badResponse, err)
 		t.end(node.Result{Code: code, Detail: detail}, false)
@@ -468,3 +477,28 @@
 	t.end(result, head.KeepAlive() && c.r.Buffered() == 0)
 	return head.KeepAlive()
 }
+
+// tooMuch is how an attempt ends whose response has no place here.
+var tooMuch = node.Result{Code: policy.Reset, Detail: "response too long for what is held already"}
+
+const longBody = 64 << 10 // bytes; shorter bodies are not counted
+
+// long is what a body may come to hold, where it is long.
+func (p *Pool) long(head *http1.Response) int64 {
+	switch {
+	case head.Framing == http1.Length && head.Length <= longBody || head.Framing == http1.NoBody:
+		return 0
+	case head.Framing == http1.Length:
+		return head.Length
+	}
+	return p.o.Limits.Body
+}
+
+// hold counts a long body; false where there is no place for it.
+func (p *Pool) hold(long int64) bool {
+	if p.held.Add(long) > p.o.Held && p.o.Held > 0 && long > 0 {
+		p.held.Add(-long)
+		return false
+	}
+	return true
+}
