--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -77,6 +77,15 @@
 		}
 		s.Server = m
 	}
+	// What has gone and has nothing out is forgotten: a fleet whose servers are replaced
+	// would grow for ever, and each would count as one that could bear a part.
+	g.fleet = slices.DeleteFunc(g.fleet, func(s *server) bool {
+		gone := s.State == Removed && s.out == 0
+		if gone {
+			delete(g.servers, s.ID)
+		}
+		return gone
+	})
 	g.size = 0
 	for _, s := range g.fleet {
 		g.size += s.Weight / float64(len(g.fleet))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -250,6 +250,31 @@
 	}
 }
 
+// Servers that were replaced are forgotten once nothing is out at them, by either
+// kind of list; an attempt that is out at one still ends as it should.
+func TestReplacedServersAreForgotten(t *testing.T) {
+	w := newWorld(t, base(), fleet(4))
+	held := w.send("safe", "free")
+	for i := range 1000 {
+		w.now += 50 * ms
+		old, next := ServerID(100+i), ServerID(101+i)
+		list := []Server{{ID: next, Zone: "a", Weight: 1, HasStart: true, Start: w.now}}
+		if i%2 == 0 {
+			w.do(Members{Kind: Changes, Servers: append(list, Server{ID: old, State: Removed})})
+		} else {
+			w.do(Members{Kind: Whole, Servers: append(list, fleet(4)...)})
+		}
+	}
+	w.do(Members{Kind: Whole, Servers: fleet(4)[:2]})
+	if most := 3; len(w.g.fleet) > most || len(w.g.servers) != len(w.g.fleet) {
+		t.Errorf("%d servers known, %d listed", len(w.g.servers), len(w.g.fleet))
+	}
+	acts := w.do(Outcome{ID: held.ID, Server: held.Server, Code: Reset, Latency: w.now})
+	if len(acts) == 0 {
+		t.Error("an attempt at a server that has gone ended, and nothing was decided")
+	}
+}
+
 func TestColdServerBudget(t *testing.T) {
 	servers := fleet(4)
 	servers[0].HasStart, servers[0].Start = true, time.Second
