An answer that stops short ends its attempt after a part of its time

Checked: ends by detail; of some 160 silent attempts a third had begun an answer that then brought nothing; the others never began one, and nothing on the socket tells them from slow ones (the module calls back lookups where the server answers no others). At fault: conn.response in upstream.go read with no bound but the attempt's own. Change: 3/20 of the attempt's time without a byte is the end of an answer that has begun (upstream/ends.go); it may have run.

--- a/upstream/ends.go
+++ b/upstream/ends.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/policy"
@@ -42,6 +43,11 @@
 	return ends[p].code, fmt.Sprintf("%s: %v", ends[p].what, err)
 }
 
+// stalled is how long an answer that has begun may bring nothing more, of an attempt
+// with so much time in all: then it has stopped short, and may have run. The rest of
+// the time is enough for another attempt. 0: for any time.
+func stalled(timeout time.Duration) time.Duration { return timeout * 3 / 20 }
+
 // TurnedAway is the response that proves, by the servers' contract, that a
 // request did not run: a status with a header field. Zero: none does.
 type TurnedAway struct {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -383,6 +383,7 @@
 	r     *http1.Reader
 	since time.Time     // when it was last used; under the pool's lock
 	idle  time.Duration // it was idle before the use under way
+	stall time.Duration // a read that brings nothing for so long fails; 0: none does. The reader's alone
 
 	mu  sync.Mutex
 	t   *attempt // whose response is awaited
@@ -390,12 +391,21 @@
 }
 
 func (p *Pool) connection(key string, nc net.Conn) *conn {
-	c := &conn{p: p, key: key, nc: nc, r: http1.NewReader(nc, p.o.Limits)}
+	c := &conn{p: p, key: key, nc: nc}
+	c.r = http1.NewReader(c, p.o.Limits)
 	p.conns.Add(1)
 	go c.read()
 	return c
 }
 
+// Read reads for the connection's http1.Reader.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.stall > 0 {
+		c.nc.SetReadDeadline(time.Now().Add(c.stall))
+	}
+	return c.nc.Read(b)
+}
+
 // assign gives the connection an attempt to carry; false where it has ended.
 func (c *conn) assign(t *attempt) bool {
 	c.mu.Lock()
@@ -440,9 +450,12 @@
 			t.end(node.Result{Code: code, Detail: detail}, false)
 			break
 		}
-		if !c.response(t) {
+		c.stall = stalled(t.Timeout)
+		again := c.response(t)
+		if c.stall = 0; !again {
 			break
 		}
+		c.nc.SetReadDeadline(time.Time{})
 	}
 	c.p.drop(c)
 	c.nc.Close()
