--- a/front/http1/room.go
+++ b/front/http1/room.go
@@ -49,22 +49,31 @@
 		list *list.List
 		keep time.Duration
 	}{{&r.asking, r.yield / early}, {&r.kept, r.yield}, {&r.kept, r.yield / early}} {
-		e := l.list.Front()
-		for n := 0; n < looks && e != nil; n++ {
-			s := e.Value.(*seat)
-			if now.Sub(s.since) < l.keep {
-				break
-			}
-			if !r.holding(s.conn) {
-				r.open(s)
-				return true, s.conn
-			}
-			e = e.Next()
+		if s := r.longest(l.list, now.Add(-l.keep), nil); s != nil {
+			r.open(s)
+			return true, s.conn
 		}
 	}
 	return false, nil
 }
 
+// longest is the seat that was longest on a list, since a time at the latest and
+// other than one, whose connection holds nothing unread; nil where none is found.
+func (r *room) longest(l *list.List, since time.Time, but *seat) *seat {
+	e := l.Front()
+	for n := 0; n < looks && e != nil; n++ {
+		s := e.Value.(*seat)
+		if s.since.After(since) {
+			break
+		}
+		if s != but && !r.holding(s.conn) {
+			return s
+		}
+		e = e.Next()
+	}
+	return nil
+}
+
 // comes notes that a connection came, or began a request.
 func (r *room) comes(s *seat, now time.Time) {
 	if s.in != &r.asking {
@@ -81,15 +90,12 @@
 	if r.spare == 0 || r.kept.Len() <= r.spare {
 		return nil
 	}
-	e := r.kept.Front()
-	for n := 0; n < looks && e != nil; n++ {
-		if v := e.Value.(*seat); v != s && !r.holding(v.conn) {
-			r.leave(v)
-			return v.conn
-		}
-		e = e.Next()
+	v := r.longest(&r.kept, now, s)
+	if v == nil {
+		return nil
 	}
-	return nil
+	r.leave(v)
+	return v.conn
 }
 
 func (r *room) sits(s *seat, l *list.List, now time.Time) {
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -141,7 +141,7 @@
 	s       *Server
 	nc      net.Conn
 	r       *http1.Reader
-	seat    seat      // under the server's lock, as are the next two
+	seat    seat      // under the server's lock, as are the next three
 	busy    bool      // a request is under way
 	out     bool      // it makes room for another
 	asked   bool      // it has sent a whole request
@@ -289,7 +289,7 @@
 	closing := !req.KeepAlive() || c.s.draining()
 	if len(res.Body) > longBody && req.Method != "HEAD" {
 		c.buf = http1.AppendResponseHead(c.buf[:0], req.Method, res.Status, res.Header, len(res.Body), closing)
-		return c.writeLong(res.Body) && !closing
+		return c.write(c.buf, res.Body) && !closing
 	}
 	c.buf = http1.AppendResponse(c.buf[:0], req.Method, res.Status, res.Header, res.Body, closing)
 	return c.write(c.buf) && !closing
@@ -379,16 +379,13 @@
 // a connection's buffer stays small.
 const longBody = 16 << 10
 
-// writeLong writes the head in the buffer and a body behind it.
-func (c *conn) writeLong(body []byte) bool {
+// write writes the parts of an answer, all within the time for one.
+func (c *conn) write(parts ...[]byte) bool {
 	c.nc.SetWriteDeadline(time.Now().Add(c.s.o.WriteTime))
-	bufs := net.Buffers{c.buf, body}
-	_, err := bufs.WriteTo(c.nc)
-	return err == nil
-}
-
-func (c *conn) write(b []byte) bool {
-	c.nc.SetWriteDeadline(time.Now().Add(c.s.o.WriteTime))
-	_, err := c.nc.Write(b)
-	return err == nil
+	for _, b := range parts {
+		if _, err := c.nc.Write(b); err != nil {
+			return false
+		}
+	}
+	return true
 }
--- a/peer/bare.go
+++ b/peer/bare.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -28,7 +27,7 @@
 	pc      net.PacketConn
 	to      []net.Addr
 	all     net.Addr
-	from    map[netip.AddrPort]int
+	from    map[string]int // by address
 	out     chan letter
 	done    chan struct{}
 	ended   sync.WaitGroup
@@ -40,17 +39,13 @@
 
 // ListenBare starts a Bare.
 func ListenBare(o BareOptions) (*Bare, error) {
-	b := &Bare{o: o, from: map[netip.AddrPort]int{}, out: make(chan letter, mostWaiting), done: make(chan struct{})}
+	b := &Bare{o: o, from: map[string]int{}, out: make(chan letter, mostWaiting), done: make(chan struct{})}
 	for n, address := range o.Addresses {
 		a, err := network.Addr(o.Network, address)
 		if err != nil {
 			return nil, fmt.Errorf("peer %d: %w", n, err)
 		}
-		at, err := netip.ParseAddrPort(a.String())
-		if err != nil {
-			return nil, fmt.Errorf("peer %d: %w", n, err)
-		}
-		b.to, b.from[at] = append(b.to, a), n
+		b.to, b.from[a.String()] = append(b.to, a), n
 	}
 	var err error
 	if o.All != "" {
@@ -120,9 +115,8 @@
 		if err != nil {
 			continue // ICMP errors of earlier sends, on some systems
 		}
-		at, err := netip.ParseAddrPort(from.String())
-		num, known := b.from[netip.AddrPortFrom(at.Addr().Unmap(), at.Port())]
-		if err != nil || !known || n == 0 || n > MaxBare {
+		num, known := b.from[from.String()]
+		if !known || n == 0 || n > MaxBare {
 			b.foreign.Add(1)
 			continue
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -224,7 +224,7 @@
 	}
 	nc, err := t.p.o.Network.Dial(ctx, t.Address)
 	if err != nil {
-		t.p.closed1()
+		t.p.unroom()
 		return nil, true, err
 	}
 	return t.p.connection(t.key(), nc), true, nil
@@ -299,8 +299,8 @@
 	return true
 }
 
-// closed1 counts one connection less.
-func (p *Pool) closed1() {
+// unroom takes back what room counted.
+func (p *Pool) unroom() {
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
