A module made anew knows the list as it stands; the node forgets servers that are gone

Seen in reading: node kept the address of every server ever listed, and gave a module made anew after a panic the last whole list. Checked: a test in virtual time fails with the old node.go, 10 requests of 10 to a server that had gone; it passes now. At fault: Members and broken in node/node.go. Change: one map of what is listed, which a new module's list is made from.

--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,8 +83,7 @@
 	fifo    []policy.Event // for the module, those before head done
 	head    int
 	acts    []policy.Action
-	servers map[policy.ServerID]Server
-	list    []policy.Server // the last whole list, for a module made anew
+	servers map[policy.ServerID]Server // the list as it stands, without what has gone
 }
 
 // state is where a request stands in its life.
@@ -352,16 +352,18 @@
 func (n *Node) Members(kind policy.MembersKind, list []Server) {
 	n.post(stall.Listed, func() {
 		m := policy.Members{Kind: kind}
+		if kind == policy.Whole || kind == policy.Remembered {
+			clear(n.servers)
+		}
 		for _, s := range list {
 			if !s.Started.IsZero() {
 				s.HasStart, s.Start = true, s.Started.Sub(n.base)
 			}
-			n.servers[s.ID] = s
+			if n.servers[s.ID] = s; s.State == policy.Removed {
+				delete(n.servers, s.ID)
+			}
 			m.Servers = append(m.Servers, s.Server)
 		}
-		if kind == policy.Whole || kind == policy.Remembered {
-			n.list = m.Servers
-		}
 		n.feed(m)
 	})
 }
@@ -576,7 +578,12 @@
 	}
 	n.gw = gw
 	n.fifo, n.head = n.fifo[:0], 0
-	n.feed(policy.Members{Kind: policy.Remembered, Servers: n.list})
+	m := policy.Members{Kind: policy.Remembered}
+	for _, s := range n.servers {
+		m.Servers = append(m.Servers, s.Server)
+	}
+	slices.SortFunc(m.Servers, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
+	n.feed(m)
 	if n.fleet.Gateways > 0 {
 		n.feed(n.fleet)
 	}
