--- a/front/http1/room.go
+++ b/front/http1/room.go
@@ -26,6 +26,14 @@
 	since time.Time
 }
 
+// A connection that is closed here may have bytes on their way to it, and its client an
+// answer to read: it is half-closed and read on, for nothing, until the client closes too
+// (RFC 9112, 9.6), within these bounds.
+const (
+	lingerTime  = 500 * time.Millisecond // far above a round trip
+	lingerBytes = 128 << 10              // above one whole request
+)
+
 const (
 	// Clients send as they connect, and whole requests: one that does not for this
 	// part of yield is not about to. Where that is not enough, those that have asked
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,7 @@
 	WriteTime   time.Duration // for a client to take an answer
 	Connections int
 	Spare       int           // connections that may lie idle between requests; more are closed, longest idle first; 0: any number
+	Lingers     int           // connections that have made room and still linger; the oldest is cut beyond; 0: any number
 	Yield       time.Duration // with all Connections taken, one without a request for so long makes room for a new one; 0: none does
 }
 
@@ -55,8 +57,10 @@
 	mu      sync.Mutex
 	conns   map[*conn]bool
 	room    room
-	closing bool // connections close after the answer under way
-	ended   bool // and no new ones are taken
+	made    []*conn // that linger and have made room, oldest first
+	closing bool    // connections close after the answer under way
+	ended   bool    // and no new ones are taken
+	late    bool    // and no request is read any more
 	done    sync.WaitGroup
 	traces  atomic.Uint64
 }
@@ -90,6 +94,9 @@
 	}
 	s.mu.Unlock()
 	if !ok {
+		if s.draining() {
+			c.linger()
+		}
 		nc.Close()
 		return
 	}
@@ -113,19 +120,30 @@
 func (s *Server) close() {
 	s.closing = true
 	for c := range s.conns {
-		if !c.busy {
-			c.nc.SetReadDeadline(time.Now())
-		}
+		c.wake()
 	}
 }
 
-// Drain is Closing, and takes no new connections. It returns when all are closed;
-// when the context ends they are cut.
-func (s *Server) Drain(ctx context.Context) {
+// Ending is Closing, and takes no new connections.
+func (s *Server) Ending() {
 	s.mu.Lock()
-	s.close()
+	defer s.mu.Unlock()
 	s.ended = true
-	s.mu.Unlock()
+	s.close()
+}
+
+// Late has what is still being read of requests refused.
+func (s *Server) Late() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = true
+	s.close()
+}
+
+// Drain is Ending, and returns when all connections are closed; when the context ends
+// they are cut.
+func (s *Server) Drain(ctx context.Context) {
+	s.Ending()
 	stop := context.AfterFunc(ctx, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -137,44 +155,77 @@
 	s.done.Wait()
 }
 
+// phase is what a connection is at.
+type phase int
+
+const (
+	resting   phase = iota // between requests
+	reading                // a request has begun to come
+	open                   // a whole request is under way
+	lingering              // it was closed here
+)
+
 type conn struct {
 	s       *Server
 	nc      net.Conn
 	r       *http1.Reader
-	seat    seat      // under the server's lock, as are the next three
-	busy    bool      // a request is under way
+	seat    seat // under the server's lock, as are the next three
+	phase   phase
 	out     bool      // it makes room for another
 	asked   bool      // it has sent a whole request
 	began   time.Time // when the first byte of the request under way arrived
 	next    time.Time // and of one that came while another was under way; zero: none did
 	first   time.Time // its first request must be whole by then; zero: it was, or need not
+	ahead   bool      // its client sent more ahead than is held
+	gone    bool      // its client closed it, or can't be written to
 	buf     []byte
 	answers chan node.Answer
 }
 
-// setBusy notes whether a request is under way; false where the connection is
-// to be closed instead.
-func (c *conn) setBusy(busy bool) bool {
-	c.s.mu.Lock()
-	defer c.s.mu.Unlock()
-	c.busy = busy
-	if c.out {
+// rests notes that no request is under way; false where the connection is to be closed.
+func (c *conn) rests() bool {
+	s := c.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.phase = resting; c.out {
 		return false
 	}
-	if busy {
-		c.s.room.comes(&c.seat, time.Now())
-	} else if c.asked {
-		if victim := c.s.room.idle(&c.seat, time.Now()); victim != nil {
+	if c.asked {
+		if victim := s.room.idle(&c.seat, time.Now()); victim != nil {
 			victim.leave()
 		}
 	}
-	return !c.s.closing
+	return !s.closing || c.fresh()
+}
+
+// reads notes that a request begins to come; false where the connection makes room.
+func (c *conn) reads() bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if c.phase = reading; c.out {
+		return false
+	}
+	c.s.room.comes(&c.seat, time.Now())
+	return true
+}
+
+// fresh tells whether the connection is still owed its first request; under the server's
+// lock.
+func (c *conn) fresh() bool { return !c.asked && !c.s.ended }
+
+// wake has the connection look up where it waits for what it will not be given any more;
+// under the server's lock.
+func (c *conn) wake() {
+	if c.phase == resting && !c.fresh() || c.phase == reading && c.s.late {
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // leave has an idle connection end; under the server's lock.
 func (c *conn) leave() {
-	c.out = true
-	c.nc.SetReadDeadline(time.Unix(1, 0))
+	if c.out = true; c.phase != lingering {
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // taken notes that a whole request has come: it is answered, also where the
@@ -182,7 +233,7 @@
 func (c *conn) taken() {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	if c.asked = true; c.out {
+	if c.asked, c.phase = true, open; c.out {
 		c.out = false
 		c.s.room.stays()
 	}
@@ -201,11 +252,19 @@
 	if !c.first.IsZero() && c.first.Before(at) {
 		at = c.first
 	}
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if c.s.late {
+		at = time.Unix(1, 0)
+	}
 	c.nc.SetReadDeadline(at)
 }
 
 func (c *conn) serve() {
 	defer func() {
+		if !c.gone {
+			c.linger()
+		}
 		c.nc.Close()
 		c.s.mu.Lock()
 		delete(c.s.conns, c)
@@ -220,11 +279,12 @@
 	}
 	for {
 		c.within(c.s.o.IdleTime)
-		if !c.setBusy(false) && c.r.Buffered() == 0 && c.first.IsZero() {
+		if !c.rests() && c.r.Buffered() == 0 {
 			return
 		}
 		if c.r.Buffered() == 0 {
-			if c.r.Await() != nil {
+			if err := c.r.Await(); err != nil {
+				c.gone = !errors.Is(err, os.ErrDeadlineExceeded)
 				return
 			}
 		}
@@ -232,10 +292,7 @@
 		if c.began.IsZero() {
 			c.began = pulse.Arrived(c.nc)
 		}
-		if !c.setBusy(true) && c.out {
-			return
-		}
-		if !c.one() {
+		if !c.reads() || !c.one() {
 			return
 		}
 		c.first = time.Time{}
@@ -280,13 +337,12 @@
 			"reason", string(a.Reason), "detail", a.Detail)
 	} else {
 		t.Client, t.Local = c.nc.RemoteAddr().String(), c.nc.LocalAddr().String()
-		var ok bool
-		if a, ok = c.wait(t); !ok {
+		if a = c.wait(t); c.gone {
 			return false
 		}
 	}
 	res := c.s.o.Intake.Render(t, a)
-	closing := !req.KeepAlive() || c.s.draining()
+	closing := !req.KeepAlive() || c.ahead || c.s.draining()
 	if len(res.Body) > longBody && req.Method != "HEAD" {
 		c.buf = http1.AppendResponseHead(c.buf[:0], req.Method, res.Status, res.Header, len(res.Body), closing)
 		return c.write(c.buf, res.Body) && !closing
@@ -297,39 +353,38 @@
 
 // wait puts a try to the node and waits for its answer, or for the client to
 // leave; one that closes its sending side is taken to have left.
-func (c *conn) wait(t *node.Try) (a node.Answer, ok bool) {
+func (c *conn) wait(t *node.Try) (a node.Answer) {
 	c.nc.SetReadDeadline(time.Time{})
 	t.Arrived = c.began
 	gone := c.s.o.Node.Take(t, func(a node.Answer) { c.answers <- a })
 	watched := make(chan error, 1)
 	go func() { watched <- c.watch() }()
+	var err error
 	select {
 	case a = <-c.answers:
 		c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the watch
-		err := <-watched
-		return a, err == nil || errors.Is(err, os.ErrDeadlineExceeded)
-	case err := <-watched:
-		if err == nil { // the buffer is full of requests that wait for their turn
-			return <-c.answers, true
-		}
+		err = <-watched
+	case err = <-watched:
 		gone()
-		<-c.answers // the node has its last word in any case
-		return a, false
+		a = <-c.answers // the node has its last word in any case
+		if errors.Is(err, http1.ErrAhead) {
+			// Whether this client leaves could not be heard any more.
+			a = node.Answer{Kind: node.Failed, Reason: node.TooLarge, Detail: "requests sent ahead"}
+		}
 	}
+	c.ahead = errors.Is(err, http1.ErrAhead)
+	c.gone = !c.ahead && !errors.Is(err, os.ErrDeadlineExceeded)
+	return a
 }
 
 // watch waits for the client to leave. What comes meanwhile is the next request,
-// pipelined, which waits for its turn; nil where no more of it can be held.
+// pipelined, which waits for its turn.
 func (c *conn) watch() error {
 	for {
-		had := c.r.Buffered()
-		err := c.r.Await()
-		switch {
-		case err != nil:
+		if err := c.r.Await(); err != nil {
 			return err
-		case c.r.Buffered() == had:
-			return nil
-		case c.next.IsZero():
+		}
+		if c.next.IsZero() {
 			c.next = pulse.Arrived(c.nc)
 		}
 	}
@@ -344,7 +399,8 @@
 	case errors.As(err, &pe):
 		status = pe.Status
 	case !errors.Is(err, os.ErrDeadlineExceeded):
-		return false // it ended in the middle, or before the first byte
+		c.gone = true // it ended in the middle, or before the first byte
+		return false
 	}
 	why := node.BadRequest
 	if status == 413 {
@@ -358,21 +414,35 @@
 		method = req.Method
 	}
 	c.buf = http1.AppendResponse(c.buf[:0], method, status, res.Header, res.Body, true)
-	if c.write(c.buf) {
-		c.linger()
-	}
+	c.write(c.buf)
 	return false
 }
 
-// linger lets the client read its answer: closing with unread bytes would reset
-// the connection (RFC 9112, 9.6).
+// linger half-closes the connection and reads on, for nothing: closing over unread bytes
+// would reset it, and take the answer under way with it.
 func (c *conn) linger() {
-	const most = 64 << 10
+	s := c.s
+	s.mu.Lock()
+	c.phase = lingering
+	s.room.open(&c.seat)
+	if c.out && s.o.Lingers > 0 {
+		s.made = append(s.made, c)
+		if len(s.made) > s.o.Lingers {
+			s.made[0].nc.SetReadDeadline(time.Unix(1, 0))
+			s.made = slices.Delete(s.made, 0, 1)
+		}
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	s.mu.Unlock()
 	if w, ok := c.nc.(interface{ CloseWrite() error }); ok {
 		w.CloseWrite()
 	}
-	c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
-	io.CopyN(io.Discard, c.nc, most)
+	io.CopyN(io.Discard, c.nc, lingerBytes)
+	s.mu.Lock()
+	if i := slices.Index(s.made, c); i >= 0 {
+		s.made = slices.Delete(s.made, i, i+1)
+	}
+	s.mu.Unlock()
 }
 
 // longBody is the length of bodies that are not copied behind their heads, so that
@@ -384,6 +454,7 @@
 	c.nc.SetWriteDeadline(time.Now().Add(c.s.o.WriteTime))
 	for _, b := range parts {
 		if _, err := c.nc.Write(b); err != nil {
+			c.gone = true
 			return false
 		}
 	}
--- a/gateway/hard_test.go
+++ b/gateway/hard_test.go
@@ -425,7 +425,9 @@
 // silent is an upstream that takes attempts and never ends them.
 type silent struct{}
 
-func (silent) Start(node.Attempt, func(node.Result)) func() { return func() {} }
+func (silent) Start(node.Attempt, func(node.Result)) node.Sending { return silent{} }
+func (silent) Cancel()                                            {}
+func (silent) Withdraw() bool                                     { return false }
 
 // A node restarted with its last list, which is stale: three servers in it are
 // gone, one is draining. What it can't know costs attempts; each request has its
--- a/internal/http1/read.go
+++ b/internal/http1/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net/textproto"
@@ -20,25 +21,37 @@
 // Reader reads messages from one connection.
 type Reader struct {
 	br  *bufio.Reader
+	src io.Reader
 	lim Limits
 }
 
 // NewReader returns a Reader. The buffer holds the longest line allowed.
 func NewReader(r io.Reader, lim Limits) *Reader {
-	return &Reader{br: bufio.NewReaderSize(r, max(4096, lim.Line+2)), lim: lim}
+	return &Reader{br: bufio.NewReaderSize(r, max(4096, lim.Line+2)), src: r, lim: lim}
 }
 
 // Buffered is the number of bytes read from the connection and not used yet.
 func (r *Reader) Buffered() int { return r.br.Buffered() }
 
+// ErrAhead says that more has come ahead of its turn than a Reader holds.
+var ErrAhead = errors.New("http1: more sent ahead than is held")
+
 // Await blocks until there are more bytes than are buffered, or the connection
-// ends. It is nil where the buffer is full.
+// ends. The buffer grows by what comes, to what one message may hold in all: a
+// connection whose end nobody can read up to would end unheard.
 func (r *Reader) Await() error {
-	_, err := r.br.Peek(r.br.Buffered() + 1)
-	if errors.Is(err, bufio.ErrBufferFull) {
-		return nil
+	for {
+		_, err := r.br.Peek(r.br.Buffered() + 1)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+		size := r.br.Size()
+		if int64(size) >= int64(r.lim.Header)+r.lim.Body {
+			return ErrAhead
+		}
+		held, _ := r.br.Peek(size)
+		r.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(held)), r.src), 2*size)
 	}
-	return err
 }
 
 const emptyLines = 2 // tolerated before a request line; RFC 9112, 2.2
--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,7 @@
 	deadline  time.Duration
 	timer     *timers.Timer // at the deadline
 	cancel    func()        // of the Check, or the attempt out
+	withdraw  func() bool   // of the attempt out; see Sending
 	limit     *timers.Timer // of the Check, or the attempt out
 	attempts  int
 	live      bool // an attempt is out
@@ -380,6 +381,32 @@
 // Break makes the module panic at its next event; for tests.
 func (n *Node) Break() { n.post(stall.Other, func() { n.gw = nil; n.feed(policy.Timer{}) }) }
 
+// Finish lets no more tries in, and gives what is not answered its final answer now: a
+// refusal where nothing was sent, so that a repeat is harmless.
+func (n *Node) Finish() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closing = true
+	n.enqueue(item{stall.Other, func() {
+		for _, r := range n.reqs {
+			if r.state == answered {
+				continue
+			}
+			n.leaveCheck(r)
+			a := Answer{Kind: Failed, Reason: Draining}
+			if r.attempts == 0 {
+				a.Kind, a.RetryAfter = Refused, n.o.Settings.MaxRetryAfter
+			}
+			n.feed(policy.Gone{ID: r.id})
+			n.answer(r, a)
+			if r.live {
+				n.attemptEnded(r, r.attempts-1, Result{Code: policy.Cancelled, Detail: "the node ends"})
+			}
+			n.done(r)
+		}
+	}})
+}
+
 // Drain lets no more tries in and waits until all are answered, or the context
 // ends.
 func (n *Node) Drain(ctx context.Context) error {
@@ -489,7 +516,7 @@
 	if r.cancel != nil {
 		r.cancel()
 	}
-	r.cancel, r.limit = nil, nil
+	r.cancel, r.withdraw, r.limit = nil, nil, nil
 }
 
 // leaveCheck ends a Check whose answer no longer matters.
@@ -664,15 +691,16 @@
 			Allowed: r.allowed}})
 		return
 	}
-	r.cancel = n.o.Upstream.Start(Attempt{ID: r.id, Number: attempt, Address: to.Address, Key: to.Key, Timeout: left, Try: r.try, Decided: n.base.Add(n.now)},
+	sending := n.o.Upstream.Start(Attempt{ID: r.id, Number: attempt, Address: to.Address, Key: to.Key, Timeout: left, Try: r.try, Decided: n.base.Add(n.now)},
 		func(res Result) {
 			n.post(stall.Ended, func() {
 				if r.live && attempt == r.attempts-1 {
-					r.cancel = nil // it has ended by itself
+					r.cancel, r.withdraw = nil, nil // it has ended by itself
 					n.attemptEnded(r, attempt, res)
 				}
 			})
 		})
+	r.cancel, r.withdraw = sending.Cancel, sending.Withdraw
 }
 
 // attemptEnded takes in how the attempt that is out has ended; only the first
@@ -713,8 +741,10 @@
 	}
 	if r.live {
 		n.attemptEnded(r, r.attempts-1, Result{Code: policy.TimedOut, Detail: "no answer in time"})
-		n.settle()
 	}
+	// Also where the attempt's own timer has just run out, in the same step of the
+	// wheel: the module's last word on that is not said yet.
+	n.settle()
 	if r.state == answered {
 		return
 	}
@@ -734,8 +764,9 @@
 	n.done(r)
 }
 
-// clientGone comes when a client left before its answer. Nothing more is owed;
-// an attempt that is out runs to its end.
+// clientGone comes when a client left before its answer. Nothing more is owed. An
+// attempt that is out runs to its end, but for one whose request has not left yet: it
+// may be in a dial that takes longer than the client's going, and must not begin after.
 func (n *Node) clientGone(r *request) {
 	if r.id == 0 {
 		r.left = true // it is not begun yet
@@ -747,6 +778,9 @@
 	n.leaveCheck(r)
 	n.feed(policy.Gone{ID: r.id})
 	n.answer(r, Answer{Kind: Failed, Reason: ClientGone})
+	if r.live && r.withdraw != nil && r.withdraw() {
+		n.attemptEnded(r, r.attempts-1, Result{Code: policy.Moot, Detail: "the client left before it was sent"})
+	}
 	n.done(r)
 }
 
--- a/node/types.go
+++ b/node/types.go
@@ -126,10 +126,18 @@
 }
 
 // Upstream makes attempts. Start returns at once; done is called once, from any
-// goroutine, unless cancel was called before. Cancel ends the attempt's work on
-// its connection before it returns.
+// goroutine, unless the attempt was ended before.
 type Upstream interface {
-	Start(a Attempt, done func(Result)) (cancel func())
+	Start(a Attempt, done func(Result)) Sending
+}
+
+// Sending is an attempt under way. Both methods end its work on its connection before
+// they return.
+type Sending interface {
+	Cancel()
+	// Withdraw is Cancel where the whole request has not left yet, and so can't have
+	// run; else it does nothing and is false.
+	Withdraw() bool
 }
 
 // Checked is how a Check ended.
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -165,7 +165,7 @@
 	limit, _ := strconv.Atoi(set[extauthz.FieldTimeout])
 	start := time.Now()
 	ended := make(chan node.Result, 1)
-	cancel := s.pool.Start(node.Attempt{Address: set[extauthz.FieldServer], Timeout: time.Duration(limit) * time.Millisecond,
+	sending := s.pool.Start(node.Attempt{Address: set[extauthz.FieldServer], Timeout: time.Duration(limit) * time.Millisecond,
 		Try: &node.Try{Call: call}}, func(res node.Result) { ended <- res })
 	timer := time.NewTimer(time.Duration(limit) * time.Millisecond)
 	defer timer.Stop()
@@ -173,10 +173,10 @@
 	select {
 	case res = <-ended:
 	case <-timer.C:
-		cancel()
+		sending.Cancel()
 		res.Code = policy.TimedOut
 	case <-r.Context().Done():
-		cancel()
+		sending.Cancel()
 		res.Code = policy.Cancelled
 	}
 	flags, code := &datav3.ResponseFlags{}, http.StatusServiceUnavailable
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -87,6 +87,8 @@
 		t.end(moot, false)
 	case err != nil:
 		c.fail(s, partSent, err)
+	default:
+		t.written()
 	}
 }
 
--- a/upstream/trust.go
+++ b/upstream/trust.go
@@ -27,6 +27,12 @@
 	trustEvery = 200 * time.Millisecond // between looks without a break
 )
 
+// quiet is how long a connection rests after an answer before it is used again. A server
+// may send more than belongs to an answer, milliseconds late; on a connection that was
+// given the next request by then it would pass for the answer to that. What comes while
+// it rests ends it.
+const quiet = 25 * time.Millisecond
+
 // age is the step of an idle time; 0 is that of new connections, too.
 func age(idle time.Duration) int {
 	ms := uint64(max(0, idle/time.Millisecond))
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -74,7 +75,7 @@
 }
 
 // Start makes an attempt; see node.Upstream.
-func (p *Pool) Start(a node.Attempt, done func(node.Result)) (cancel func()) {
+func (p *Pool) Start(a node.Attempt, done func(node.Result)) node.Sending {
 	ctx, stop := context.WithTimeout(context.Background(), p.o.ConnectTime)
 	t := &attempt{Attempt: a, p: p, done: done, dial: stop, start: time.Now()}
 	if p.o.HTTP2 {
@@ -82,17 +83,33 @@
 	} else {
 		go t.run(ctx)
 	}
-	return t.cancel
+	return t
 }
 
-// cancel ends the attempt's work: HTTP/1.1 has no other way than to close the
+// Cancel ends the attempt's work: HTTP/1.1 has no other way than to close the
 // connection, HTTP/2 resets the stream.
-func (t *attempt) cancel() {
+func (t *attempt) Cancel() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.over {
-		return
+	if !t.over {
+		t.abandon()
+	}
+}
+
+// Withdraw is Cancel where the whole request has not left. What of it did is of no
+// use to the server: its connection is closed, or its stream reset.
+func (t *attempt) Withdraw() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.over || t.wrote {
+		return false
 	}
+	t.abandon()
+	return true
+}
+
+// abandon is Cancel under t.mu.
+func (t *attempt) abandon() {
 	t.over = true
 	t.dial()
 	if t.c != nil {
@@ -130,12 +147,7 @@
 }
 
 func (t *attempt) run(ctx context.Context) {
-	call := &t.Try.Call
-	header := call.Header
-	if t.p.o.Patience != "" {
-		header = append(header[:len(header):len(header)], http1.Field{Name: t.p.o.Patience, Value: strconv.FormatInt(t.Timeout.Milliseconds(), 10)})
-	}
-	buf := http1.AppendRequest(nil, call.Method, call.Target, call.Host, header, call.Body)
+	var buf []byte
 	for {
 		c, fresh, err := t.connect(ctx)
 		if err == errMost {
@@ -160,8 +172,9 @@
 			t.written()
 			return
 		}
+		buf = t.request(buf[:0])
 		n, assigned := 0, c.assign(t)
-		if err = net.ErrClosed; assigned {
+		if err = net.ErrClosed; assigned && c.sends() {
 			n, err = c.nc.Write(buf)
 		}
 		switch {
@@ -187,6 +200,18 @@
 	}
 }
 
+// request appends the attempt's bytes. The time that it states is what is left as it is
+// written: a dial may have taken some of it.
+func (t *attempt) request(b []byte) []byte {
+	call := &t.Try.Call
+	header := call.Header
+	if t.p.o.Patience != "" {
+		left := max(0, t.Timeout-time.Since(t.start))
+		header = append(header[:len(header):len(header)], http1.Field{Name: t.p.o.Patience, Value: strconv.FormatInt(left.Milliseconds(), 10)})
+	}
+	return http1.AppendRequest(b, call.Method, call.Target, call.Host, header, call.Body)
+}
+
 // moot is how an attempt ends that is not sent because too much time has passed,
 // or the process stood still, since it was decided: its client may have left, and
 // its server drain.
@@ -241,8 +266,9 @@
 	}
 }
 
-// take takes an idle connection to a server, or nil. What has lain idle for too
-// long, or holds what nobody asked for, is closed instead.
+// take takes an idle connection to a server, or nil: the one used last that has been
+// quiet since. What has lain idle for too long, or holds what nobody asked for, is closed
+// instead.
 func (p *Pool) take(key string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,9 +278,15 @@
 		if len(list) == 0 {
 			return nil
 		}
-		c := list[len(list)-1]
-		list[len(list)-1] = nil
-		p.idle[key] = list[:len(list)-1]
+		i := len(list) - 1
+		for i >= 0 && now.Sub(list[i].since) < quiet {
+			i--
+		}
+		if i < 0 {
+			return nil
+		}
+		c := list[i]
+		p.idle[key] = slices.Delete(list, i, i+1)
 		r, ok := c.nc.(interface{ Readable() bool })
 		if p.stale(c, now) || ok && r.Readable() {
 			c.nc.Close()
@@ -385,9 +417,10 @@
 	idle  time.Duration // it was idle before the use under way
 	stall time.Duration // a read that brings nothing for so long fails; 0: none does. The reader's alone
 
-	mu  sync.Mutex
-	t   *attempt // whose response is awaited
-	bad bool     // it has ended
+	mu   sync.Mutex
+	t    *attempt // whose response is awaited
+	sent bool     // its request is being written: what comes now may answer it
+	bad  bool     // it has ended
 }
 
 func (p *Pool) connection(key string, nc net.Conn) *conn {
@@ -413,10 +446,19 @@
 	if c.bad {
 		return false // the server ended it, or spoke unasked
 	}
-	c.t = t
+	c.t, c.sent = t, false
 	return true
 }
 
+// sends notes that the request is written from now on; false where something came
+// before, which can't be the answer to it.
+func (c *conn) sends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = true
+	return !c.bad
+}
+
 // unassign takes an attempt back; false where its end was seen already.
 func (c *conn) unassign(t *attempt) bool {
 	c.mu.Lock()
@@ -433,9 +475,16 @@
 	for {
 		err := c.r.Await()
 		c.mu.Lock()
+		if !c.sent {
+			// Nobody asked yet: an attempt that was just given the connection goes on
+			// another, which it learns from sends.
+			c.bad = true
+			c.mu.Unlock()
+			break
+		}
 		t := c.t
-		c.t = nil
-		if t == nil || err != nil {
+		c.t, c.sent = nil, false
+		if c.bad = err != nil; t == nil {
 			c.bad = true
 		}
 		c.mu.Unlock()
