An attempt in its dial leaves a server that begins to drain

Read: node.Members (node/node.go) told the module of a draining server and left attempts that were still in their dial to it. A dial may take as long as the settings let it; where that is more than the grace, the first byte went to a draining server after the grace.

Mend: what has not left for a server that is no longer running is withdrawn and ends as not connected, so that the module sends it elsewhere. Test on real connections: TestDrainCrossesADial (fails without: the attempt stays).

--- a/node/node.go
+++ b/node/node.go
@@ -366,9 +366,20 @@
 			m.Servers = append(m.Servers, s.Server)
 		}
 		n.feed(m)
+		n.leave()
 	})
 }
 
+// leave takes back what has not left yet for servers that want nothing new: a dial may
+// come up long after its server began to drain.
+func (n *Node) leave() {
+	for _, r := range n.reqs {
+		if s, listed := n.servers[r.server]; r.live && r.withdraw != nil && (!listed || s.State != policy.Running) && r.withdraw() {
+			n.attemptEnded(r, r.attempts-1, Result{Code: policy.ConnectFailed, Detail: "the server left before it was sent"})
+		}
+	}
+}
+
 // Ended tells how the attempt that a Go let a proxy make has ended.
 func (n *Node) Ended(id policy.RequestID, attempt int, res Result) {
 	n.post(stall.Ended, func() {
