Large fleets: gate against idle latencies, cut off gateways go on, cold shares whole

On split 2,064 refusals said that no root answers: pass fell with the fourth power of the share answered, to none where none is.

Lines: policy.go adapt, ask, draw, gather. The gate of a large fleet is now the greater of 0.25 and 1.8 times the least mean latency over its aim; a gateway that hears no root passes its own part after one ask; a cold server may have its whole share of an even one (its fall is at a multiple of that); a watcher multiplied by coldness where it had to divide it out.

Tests that fail without: TestCutOffGatewaysGoOn, TestGateKnowsIdleLatencies, TestWatcherKnowsColdness.

--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -295,3 +295,82 @@
 		t.Errorf("not asked again: %v", acts)
 	}
 }
+
+// Gateways that hear no root at all are cut off: customers far below their quotas go on
+// being served there, within them, and without waiting for asks that nobody answers. Where
+// a part of the mail is lost the roots are flooded, and few pass unheard.
+func TestCutOffGatewaysGoOn(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		lost        int // of four messages
+		least, most float64
+	}{{"cut off", 4, 0.7, 1}, {"flooded", 3, 0, 0.75}} {
+		w := newCrowd(t, 60, fleet(20))
+		id, cut := 0, false
+		w.lose = func(int, int) bool { id += 7919; return cut && id/7919%4 < c.lost }
+		asked, next := 0, RequestID(0)
+		load := func(at time.Duration) {
+			if at/ms%100 != 0 {
+				return
+			}
+			for i := 50; i < 53; i++ {
+				next++
+				asked++
+				w.request(i, next, "k"+string(rune('a'+next%20)), "rate", "safe", 60)
+			}
+		}
+		w.pass(3*time.Second, load)
+		cut = true
+		w.pass(4*time.Second, load)
+		asked = 0
+		before := len(w.sends)
+		w.pass(4*time.Second, load)
+		w.pass(time.Second, nil)
+		got := float64(len(w.sends)-before) / float64(asked)
+		if got < c.least || got > c.most {
+			t.Errorf("%s: %.2f of what was asked far inside the quotas passed; %.2f to %.2f wanted", c.name, got, c.least, c.most)
+		}
+	}
+}
+
+// The gate of a large fleet is set against what idle servers take: aims a few times as long
+// as that leave no room for a threshold of their own. What it has once seen stays.
+func TestGateKnowsIdleLatencies(t *testing.T) {
+	g := newCrowd(t, 60, fleet(20)).gs[0]
+	closes := func(strain float64) bool {
+		g.gate, g.strain = 1, strain
+		g.adapt(time.Second)
+		return g.gate < 1
+	}
+	if !closes(0.3) || closes(0.2) {
+		t.Error("the gate's threshold before anything is known")
+	}
+	for _, c := range g.classes {
+		c.seen, c.mean = idleSeen, 0.2*c.Aim.Seconds()
+	}
+	if closes(0.3) || !closes(0.39) {
+		t.Error("the threshold with idle latencies of a fifth of the aims")
+	}
+	for _, c := range g.classes {
+		c.mean = 0.8 * c.Aim.Seconds()
+	}
+	if closes(0.3) || !closes(0.39) {
+		t.Error("an overload passes for idleness")
+	}
+}
+
+// A cold server's longer latency is its coldness: its watcher must not take it for a slow
+// one beyond that.
+func TestWatcherKnowsColdness(t *testing.T) {
+	servers := fleet(20)
+	servers[0].HasStart, servers[0].Start = true, 10*time.Second
+	w := newCrowd(t, 60, servers)
+	g := w.gs[w.gs[0].servers[1].watchers[0]]
+	s := g.servers[1]
+	for range 100 {
+		g.gather(s, 0, OK, time.Duration(g.classes["safe"].mean/g.coldness(s)*float64(time.Second)))
+	}
+	if s.pace > 1.2 || s.pace < 0.8 {
+		t.Errorf("a pace of %.2f", s.pace)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,7 +57,9 @@
 
 	mostOut  = 0.7  // when more are out of use they are used all the same
 	gateAim  = 0.4  // mean latency over aim above which the gate closes
-	blindAim = 0.25 // and where gateways don't see the load at servers
+	blindAim = 0.25 // and where gateways don't see the load at servers, or
+	idleAims = 1.8  // so many idle latencies over their aims, if more
+	idleSeen = 20   // outcomes of each class that those rest on
 
 	gateShut, gateOpen = 3 * time.Second, 8 * time.Second // to 1/e in this time, and opens
 	gateLeast          = 0.25                             // enough to learn from when all is well again
@@ -552,9 +554,7 @@
 		// bear, times the share of capacity the server surely has.
 		s.sends = slices.DeleteFunc(s.sends, func(t time.Duration) bool { return g.now-t > g.set.FallTime })
 		warm := g.sendRate / max(1, float64(len(g.fleet)))
-		if float64(len(s.sends)) >= max(1, warm*cold*g.set.FallMultiple*coldSafety) {
-			return false
-		}
+		return float64(len(s.sends)) < max(1, warm*cold*g.set.FallMultiple*coldSafety)
 	}
 	return true
 }
@@ -566,10 +566,7 @@
 func (g *Gateway) pick(r *request) *server {
 	ok, doubted := g.usables[:0], g.doubted[:0]
 	for _, s := range g.fleet {
-		if !g.usable(s, r) {
-			continue
-		}
-		if s == r.last {
+		if s == r.last || !g.usable(s, r) {
 			continue
 		}
 		if v := g.record(s, r.cl); v != nil && v.bad && g.now < v.until {
@@ -615,7 +612,7 @@
 // draw chooses a server by its share of the fleet's capacity. A large fleet's
 // gateways don't see the load there; were each to take the best of a few, all
 // would crowd onto the same servers. However slow the warm ones are, a cold one
-// gets no more than its budget of an even share; what is left over waits.
+// gets no more than its part of an even share; what is left over waits.
 func (g *Gateway) draw(ok []*server) *server {
 	all := 0.0
 	for _, s := range ok {
@@ -629,7 +626,7 @@
 	least := 0.0
 	for _, s := range ok {
 		if cold := g.coldness(s); cold < 1 {
-			s.weight = min(s.weight, cold*coldSafety*all/float64(len(ok)))
+			s.weight = min(s.weight, cold*all/float64(len(ok)))
 			least = max(least, s.weight*float64(len(ok))/(cold*coldSafety*max(1, g.set.FallMultiple)))
 		}
 	}
@@ -666,7 +663,8 @@
 // requests is refused. Guards against load this gateway is not told of, on all
 // servers: peers unheard, slow fleets. Harms where aims are near idle latencies.
 func (g *Gateway) adapt(dt time.Duration) {
-	if g.strain > gateAim || g.tree && g.strain > blindAim {
+	g.rest()
+	if g.strain > gateAim || g.tree && g.strain > max(blindAim, idleAims*g.idle) {
 		g.gate = max(gateLeast, g.gate*math.Exp(-dt.Seconds()/gateShut.Seconds()))
 	} else {
 		g.gate = min(1, g.gate+dt.Seconds()/gateOpen.Seconds())
@@ -829,9 +827,11 @@
 		g.admit(r)
 		return
 	}
-	if delete(g.asks, r.tag); r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline {
-		// Where much of the mail is lost the roots are flooded: few may pass unheard.
-		pass := math.Pow(g.heard, unheardPower)
+	cut := math.Pow(1-g.heard, unheardPower)
+	late := r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline
+	if delete(g.asks, r.tag); late || r.asked > 0 && g.rng.Float64() < cut {
+		// Much mail lost: roots are flooded, few may pass unheard. All lost: cut off, the own part passes.
+		pass := math.Pow(g.heard, unheardPower) + cut
 		if c.witness > 0 && g.now-c.witness < witnessLife {
 			pass = 1
 		}
@@ -948,7 +948,7 @@
 // requests away is taken for very slow: it gets few more until it answers.
 func (g *Gateway) gather(s *server, class int, code Code, latency time.Duration) {
 	v, mean := &s.by[class], g.classes[g.set.Classes[class].Name].mean
-	seen := min(latency.Seconds()/mean/g.coldness(s), mostPace)
+	seen := min(latency.Seconds()/mean*g.coldness(s), mostPace)
 	switch code {
 	case OK:
 		v.errs *= 1 - sightWeight
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -197,6 +198,7 @@
 	minAim    float64 // the shortest aim, in seconds
 	heard     float64 // share of asks that are answered
 	own       float64 // weight of an outcome in a server's pace here
+	idle      float64 // the least mean latency over its aim so far, of all classes; 0: not known
 	gate      float64 // part of the requests let in
 	tree      bool    // reports from all to all would be too many
 	asks      map[uint32]*request
@@ -299,6 +301,19 @@
 	g.stirred = kept
 }
 
+// rest notes how near an idle fleet's latencies come to their aims.
+func (g *Gateway) rest() {
+	near := 0.0
+	for _, set := range g.set.Classes {
+		c := g.classes[set.Name]
+		if c.seen < idleSeen {
+			return
+		}
+		near += c.mean / c.Aim.Seconds() / float64(len(g.classes))
+	}
+	g.idle = min(near, cmp.Or(g.idle, near))
+}
+
 // stir notes a customer that something happens to: ticks pass over all others,
 // who have nothing out, held or to be told.
 func (g *Gateway) stir(c *customer) {
