--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -374,3 +375,57 @@
 		t.Errorf("a pace of %.2f", s.pace)
 	}
 }
+
+// What all gateways send a cold server in the time in which it may fall stays under what
+// the settings allow it, with a margin for chance, however many gateways there are, and
+// while a part of them has just started and knows nothing of the load.
+func TestColdServerUnderManyGateways(t *testing.T) {
+	const servers, each = 20, 25.0 // requests a second that a warm server turns round
+	for _, n := range []int{3, 12, 22, 23, 30, 300} {
+		list := fleet(servers)
+		w := newCrowd(t, n, list)
+		next := RequestID(0)
+		load := func(at time.Duration) {
+			for range 4 { // 400 a second: four fifths of what the fleet bears
+				next++
+				w.request(int(next*7919)%n, next, "k", "free", "safe", n)
+			}
+		}
+		w.pass(4*time.Second, load)
+		start := w.now
+		list[0].HasStart, list[0].Start = true, start
+		for i := range w.gs {
+			if i%3 == 2 {
+				s := base()
+				s.Me, s.Gateways = i, n
+				w.gs[i], _ = New(s, uint64(1000+i))
+			}
+			w.do(i, Members{Kind: Whole, Servers: list})
+		}
+		from := len(w.sends)
+		w.pass(8*time.Second, load)
+		set := base()
+		var times []time.Duration
+		for i, s := range w.sends[from:] {
+			if s.Server == list[0].ID {
+				times = append(times, w.sentAt[from+i])
+			}
+		}
+		worst, of := 0.0, 0.0
+		for i, j := 0, 0; j < len(times); j++ {
+			for times[j]-times[i] > set.FallTime {
+				i++
+			}
+			cold := set.ColdShare + (1-set.ColdShare)*(times[i]-start).Seconds()/set.WarmWithin.Seconds()
+			allowed := each * cold * set.FallMultiple * set.FallTime.Seconds()
+			allowed += 2*math.Sqrt(allowed) + 2
+			if got := float64(j - i + 1); got/allowed > worst {
+				worst, of = got/allowed, allowed
+			}
+		}
+		t.Logf("%d gateways: %d sent, at most %.2f of %.1f", n, len(times), worst, of)
+		if worst > 1 || len(times) < 20 {
+			t.Errorf("%d gateways: %d sent, at most %.2f of the %.1f allowed", n, len(times), worst, of)
+		}
+	}
+}
