--- a/day/env.go
+++ b/day/env.go
@@ -128,9 +128,10 @@
 	wall   sync.Map // what a node's wall clock is ahead, by number
 
 	// Defects, to see the audit find them: Edit changes a node's configuration,
-	// Deafen what it hears of the server list.
+	// Deafen what it hears of the server list, Carry how its attempts are made.
 	Edit   func([]byte) []byte
 	Deafen func([]node.Server) []node.Server
+	Carry  func(node.Upstream) node.Upstream
 	Stall  stall.Settings // zero: the default
 }
 
@@ -167,7 +168,7 @@
 	b.Seed++
 	host := b.Memory.Host(fmt.Sprint("node-", number))
 	log := slog.New(slog.NewTextHandler(b.Log, &slog.HandlerOptions{Level: cfg.LogLevel})).With("node", number)
-	g, err := gateway.Start(cfg, gateway.Options{Network: host, Log: log, Seed: b.Seed, Deafen: b.Deafen, Stall: b.Stall,
+	g, err := gateway.Start(cfg, gateway.Options{Network: host, Log: log, Seed: b.Seed, Deafen: b.Deafen, Carry: b.Carry, Stall: b.Stall,
 		Wall: func() time.Time {
 			ahead, _ := b.wall.Load(number)
 			d, _ := ahead.(time.Duration)
--- a/day/virtual/defects.go
+++ b/day/virtual/defects.go
@@ -19,7 +19,12 @@
 var defects = map[string]func(*day.Bubble){
 	// Rule 1.
 	"patience-not-read": edit("clients {", "clients {\n patience_header = \"x-none\""),
-	"stalls-not-seen":   func(b *day.Bubble) { b.Stall = ways[Ways[0]].stall },
+	"stalls-not-seen": func(b *day.Bubble) {
+		b.Stall = ways[Ways[0]].stall
+		// What its client has left is taken back where it is still on its way, which
+		// hides most of it: that defence goes, too.
+		b.Carry = func(u node.Upstream) node.Upstream { return sendsAll{u} }
+	},
 	// Rule 2.
 	"keyed-taken-for-safe":  edit(`effect = "keyed"`, `effect = "safe"`),
 	"unsafe-taken-for-safe": edit(`effect = "unsafe"`, `effect = "safe"`),
@@ -37,6 +42,17 @@
 	"ceiling-unknown":  edit(quotas, "rate = 100\n  burst = 100\n  open = 0"),
 }
 
+// sendsAll sends whatever it was given, whoever has left meanwhile.
+type sendsAll struct{ node.Upstream }
+
+func (u sendsAll) Start(a node.Attempt, done func(node.Result)) node.Sending {
+	return goesOn{u.Upstream.Start(a, done)}
+}
+
+type goesOn struct{ node.Sending }
+
+func (goesOn) Withdraw() bool { return false }
+
 // Ways of living through stalls, as weighed: what is read to its end before
 // anything is sent, and from when what was read counts.
 var Ways = []string{"nothing", "read first", "age by the gap", "age by stamps", "read first, age by the gap",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,9 @@
 	// Deafen changes what the module hears of the server list; for tests. nil:
 	// nothing.
 	Deafen func([]node.Server) []node.Server
+	// Carry stands between the node and its connections to servers; for tests. nil:
+	// nothing.
+	Carry func(node.Upstream) node.Upstream
 	// Wall is the wall clock, as peers and the counter's windows go by it; nil:
 	// the system's.
 	Wall func() time.Time
@@ -97,7 +100,9 @@
 		Limits:     g.limits(cfg.Limits.AnswerBody),
 		TurnedAway: g.turnedAway(), HTTP2: cfg.Servers.HTTP2, Stood: clock.Stood})
 	g.closes = append(g.closes, pool.Close)
-	opt.Upstream = pool
+	if opt.Upstream = pool; g.o.Carry != nil {
+		opt.Upstream = g.o.Carry(pool)
+	}
 	if a := cfg.Authoriser; a != nil {
 		c, err := ask.Dial(o.Network, a.Addresses, ask.Rules{Body: a.Body, Allowed: a.Allowed, Disallowed: a.Forbidden})
 		if err != nil {
