A connection that makes room as its next request begins is woken all the same

Read: conn.within set the time for a request's head after leave had woken the connection between its first byte and that: it held its place for up to 2 s beyond, while a new connection had been taken for it. Under the lock it sees now that it is to leave. TestRoomCrossesABeginning fails without.

--- a/front/http1/close_test.go
+++ b/front/http1/close_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -306,3 +307,37 @@
 		<-s.o.gone
 	})
 }
+
+// A connection is to make room just as its next request begins to come: it is woken before
+// it sets its own time for that, which must not put the waking off.
+func TestRoomCrossesABeginning(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		near, far := net.Pipe()
+		s := New(Options{Connections: 1})
+		c := &conn{s: s, nc: near, phase: reading}
+		s.conns[c] = true
+		if late {
+			s.Late()
+		} else {
+			s.mu.Lock()
+			c.leave()
+			s.mu.Unlock()
+		}
+		c.within(time.Hour)
+		read := make(chan error, 1)
+		go func() {
+			_, err := near.Read(make([]byte, 1))
+			read <- err
+		}()
+		select {
+		case err := <-read:
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error(err)
+			}
+		case <-time.After(10 * time.Second):
+			t.Errorf("late %v: it waits for the rest of the request", late)
+		}
+		near.Close()
+		far.Close()
+	}
+}
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -254,8 +254,8 @@
 	}
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	if c.s.late {
-		at = time.Unix(1, 0)
+	if c.s.late || c.out {
+		at = time.Unix(1, 0) // it was woken before it came to wait
 	}
 	c.nc.SetReadDeadline(at)
 }
