Where no peer is heard a gateway's part of a quota takes in whole requests

Cause: that deployment lets no edge nodes talk. allowance (policy.go) is the store times this gateway's share, or the store less what unheard peers may pass meanwhile: with 60 of them and a store of 2 to 18 units both are below one unit for ever. Ruled out: intake (no 400), the list of servers (ready, attempts of the first 32 served), asking roots (not a tree without talk). The same stood in room for caps on attempts out.

Mend: where none is heard nobody else uses this gateway's part, so that part is a store of its own that takes in at least one largest request; it fills at the share of the rate as before. Where none can tell, silence no longer fades a peer's weight. One attempt out is always allowed there under a cap. Hard ceilings are as they were.

Tests that fail without: TestPartsBelowOneRequest, TestCapWhereNoneIsHeard.

--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -429,3 +429,63 @@
 		}
 	}
 }
+
+// A fleet whose gateways can't tell each other anything: each passes its own part of a
+// quota, also where that holds less than one request, and together they pass no more than
+// the rate and one request for each of them.
+func TestPartsBelowOneRequest(t *testing.T) {
+	const n = 60
+	for _, c := range []struct {
+		name        string
+		every       int // a request in each such step of 10 ms
+		least, most float64
+	}{{"inside the quota", 20, 0.4 * 100, 100}, {"far above it", 2, 0.8 * 200, 200 + n}} {
+		w := &crowd{t: t, now: 10 * time.Second, lose: func(int, int) bool { return false }}
+		for i := range n {
+			s := base()
+			s.Me, s.Gateways, s.CanTell, s.MailPerSecond, s.LargestUnits = i, n, false, 0, 1
+			g, err := New(s, uint64(i+1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.gs = append(w.gs, g)
+			w.do(i, Members{Kind: Remembered, Servers: fleet(20)})
+		}
+		next, step := RequestID(0), 0
+		w.pass(20*time.Second, func(time.Duration) {
+			if step++; step%c.every == 0 {
+				next++
+				w.request(int(next*7919)%n, next, "k", "rate", "safe", n)
+			}
+		})
+		if got := float64(len(w.sends)); got < c.least || got > c.most {
+			t.Errorf("%s: %v of %d passed, %v to %v wanted", c.name, got, next, c.least, c.most)
+		}
+		if w.told > 0 {
+			t.Errorf("%d messages", w.told)
+		}
+	}
+}
+
+// A cap on attempts out leaves each gateway that hears none one attempt.
+func TestCapWhereNoneIsHeard(t *testing.T) {
+	s := base()
+	s.Gateways, s.CanTell, s.MailPerSecond = 60, false, 0
+	g, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Handle(time.Second, Members{Kind: Whole, Servers: fleet(20)}, nil)
+	sends := 0
+	for id := range 3 {
+		for _, a := range g.Handle(time.Second, Request{ID: RequestID(id + 1), Customer: "k", Plan: "open", Class: "safe", Units: 1,
+			Remaining: time.Second, Spread: 60}, nil) {
+			if _, ok := a.(Send); ok {
+				sends++
+			}
+		}
+	}
+	if sends != 1 {
+		t.Errorf("%d attempts out", sends)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -265,6 +265,9 @@
 	w := v.rate
 	if g.silent(v.p) {
 		fade := math.Exp(-(g.now - max(v.p.at, g.start)).Seconds() / forgetAfter.Seconds())
+		if !g.set.CanTell {
+			fade = 1 // its silence says nothing
+		}
 		w = max(w, c.rate) * (leastWeight + (1-leastWeight)*fade)
 	}
 	return w/demandSpan.Seconds() + g.even(c)
@@ -287,6 +290,10 @@
 // demand-split part, or what is left once the peers have passed all they may
 // be asked for before they are heard again, whichever is more.
 func (g *Gateway) allowance(c *customer) float64 {
+	// Where none is heard nobody else uses its own part, which takes in whole requests.
+	if share := g.share(c); len(c.ask) == 0 && g.deaf(c) {
+		return max(c.store*share, c.store-c.plan.Burst+max(c.plan.Burst*share, g.set.LargestUnits))
+	}
 	blind := (g.tick + blindExtra).Seconds()
 	unseen := 0.0
 	for _, v := range c.set {
@@ -316,7 +323,7 @@
 // room tells whether one more attempt of the customer fits under its cap.
 // An arrival stays under its demand-split part, at least one.
 func (g *Gateway) room(c *customer, arrival bool) bool {
-	if c.plan.Open == 0 {
+	if c.plan.Open == 0 || c.out == 0 && g.deaf(c) {
 		return true
 	}
 	out, _ := g.others(c)
@@ -473,13 +480,9 @@
 // again decides whether a request may have a further attempt. Where it may go
 // is usable's to say. The budget keeps retries from feeding an overload.
 func (g *Gateway) again(r *request, code Code) bool {
-	if g.set.MaxAttempts > 0 && r.attempts >= g.set.MaxAttempts {
-		return false
-	}
-	if r.ran && (r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window) {
-		return false
-	}
-	if g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline {
+	if g.set.MaxAttempts > 0 && r.attempts >= g.set.MaxAttempts ||
+		r.ran && (r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window) ||
+		g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline {
 		return false
 	}
 	if !code.NeverRan() || code == Full {
@@ -543,10 +546,8 @@
 // ejected (but for a trial), inside its group and window once it may have
 // run, and inside the budget of a cold server.
 func (g *Gateway) usable(s *server, r *request) bool {
-	if s.State != Running || g.now < s.fullAt[r.c.plan] {
-		return false
-	}
-	if r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
+	if s.State != Running || g.now < s.fullAt[r.c.plan] ||
+		r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
 		return false
 	}
 	if cold := g.coldness(s); cold < 1 {
@@ -691,8 +692,6 @@
 	}
 }
 
-// The eviction tick.
-
 func (g *Gateway) onTick() {
 	dt := g.now - g.lastTick
 	g.lastTick, g.ticks = g.now, g.ticks+1
@@ -724,8 +723,7 @@
 		n := 1 << 30
 		if c.plan.Open > 0 {
 			out, held := g.others(c)
-			mine := float64(len(c.held))
-			part := (float64(c.plan.Open) - float64(c.out) - out) * mine / (mine + held)
+			part := (float64(c.plan.Open-c.out) - out) / (1 + held/float64(len(c.held)))
 			n = int(math.Floor(max(part, 0) + g.rng.Float64()))
 		}
 		g.drain(c, n)
