An attempt is taken back only before its request is being written

Read: Withdraw took an attempt back unless its writer had noted that the whole request left. Between the last byte and that note it closed the connection and called the attempt one that never ran: where its server began to drain just then the module would have sent a keyed or unsafe request a second time.

Mend: the attempt notes that it begins before the first byte is written (attempt.begin), over HTTP/2 under the lock of writes, too; from then on it is not taken back. TestWithdrawCrossesTheWrite holds the writer after the bytes have left and fails without.

--- a/node/types.go
+++ b/node/types.go
@@ -135,7 +135,7 @@
 // they return.
 type Sending interface {
 	Cancel()
-	// Withdraw is Cancel where the whole request has not left yet, and so can't have
+	// Withdraw is Cancel where the request is not being written yet, and so can't have
 	// run; else it does nothing and is false.
 	Withdraw() bool
 }
--- a/upstream/crossing_test.go
+++ b/upstream/crossing_test.go
@@ -194,3 +194,54 @@
 		p.Close()
 	}
 }
+
+// slowWrite holds a write until it may go on.
+type slowWrite struct {
+	network.OS
+	writing, release chan struct{}
+}
+
+type slowWriteConn struct {
+	net.Conn
+	d *slowWrite
+}
+
+func (d *slowWrite) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	nc, err := d.OS.Dial(ctx, addr)
+	return &slowWriteConn{nc, d}, err
+}
+
+func (c *slowWriteConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.d.writing <- struct{}{}
+	<-c.d.release
+	return n, err
+}
+
+// An attempt is taken back just as its request has left, before its writer knows so: it
+// can't be, and ends with what its server says.
+func TestWithdrawCrossesTheWrite(t *testing.T) {
+	s := listen(t)
+	d := &slowWrite{writing: make(chan struct{}), release: make(chan struct{})}
+	p := New(Options{Network: d, ConnectTime: 10 * time.Second, Idle: 4, Limits: testLimits})
+	sending, ended := start(p, s, "/left", 10*time.Second)
+	nc, r := s.accept()
+	<-d.writing
+	if sending.Withdraw() {
+		t.Error("withdrawn after its last byte has left: it would be sent again elsewhere")
+	}
+	close(d.release)
+	if _, err := r.Request(); err != nil {
+		t.Fatal(err)
+	}
+	nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	select {
+	case res := <-ended:
+		if res.Code != policy.OK {
+			t.Errorf("%+v", res)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("no end")
+	}
+	p.Close()
+}
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -177,7 +177,7 @@
 func (c *h2conn) request(s *h2stream, call *node.Call) error {
 	late := false
 	err := c.write(func() error {
-		if late = s.t.late(); late {
+		if late = s.t.late() || !s.t.begin(); late {
 			return nil
 		}
 		c.mu.Lock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -70,6 +70,7 @@
 	dial  context.CancelFunc
 	start time.Time
 	reset func() // over HTTP/2: ends its stream
+	begun bool   // its request is being written: from here on nobody knows how much has left
 	wrote bool   // the whole request has left
 	keep  bool   // it ended well before that
 }
@@ -96,18 +97,26 @@
 	}
 }
 
-// Withdraw is Cancel where the whole request has not left. What of it did is of no
-// use to the server: its connection is closed, or its stream reset.
+// Withdraw is Cancel where the request is not being written yet. A write under way may
+// have given the network the last byte: that it did not run could not be told.
 func (t *attempt) Withdraw() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.over || t.wrote {
+	if t.over || t.begun {
 		return false
 	}
 	t.abandon()
 	return true
 }
 
+// begin notes that the request is written from now on; false where the attempt is over.
+func (t *attempt) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.begun = !t.over
+	return t.begun
+}
+
 // abandon is Cancel under t.mu.
 func (t *attempt) abandon() {
 	t.over = true
@@ -175,6 +184,9 @@
 		buf = t.request(buf[:0])
 		n, assigned := 0, c.assign(t)
 		if err = net.ErrClosed; assigned && c.sends() {
+			if !t.begin() {
+				return // and the connection is closed
+			}
 			n, err = c.nc.Write(buf)
 		}
 		switch {
@@ -197,6 +209,9 @@
 		}
 		t.p.learn(c, true)
 		c.nc.Close()
+		t.mu.Lock()
+		t.begun = false
+		t.mu.Unlock()
 	}
 }
 
