Pool: two checks that say the same as their neighbours go

Reading the change once more: take looked for an empty list before a search that finds nothing in one, and a connection's reader set its end in two steps. Behaviour as before. Run: upstream three times with the race detector, platform, gateway, front and internal/pure; not the whole suite.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -290,9 +290,6 @@
 	now := time.Now()
 	for {
 		list := p.idle[key]
-		if len(list) == 0 {
-			return nil
-		}
 		i := len(list) - 1
 		for i >= 0 && now.Sub(list[i].since) < quiet {
 			i--
@@ -499,9 +496,7 @@
 		}
 		t := c.t
 		c.t, c.sent = nil, false
-		if c.bad = err != nil; t == nil {
-			c.bad = true
-		}
+		c.bad = err != nil || t == nil
 		c.mu.Unlock()
 		if t == nil {
 			break
