Policy: a ceiling without rate or cap has quota leaders in large fleets

What callers saw: in a fleet in leader mode a customer whose plan has a hard ceiling, but neither a rate nor a cap, was admitted many times its ceiling: 60 gateways admitted 900 units under 20. Cause: assignLeaders named leaders only for plans with a rate or a cap. Without leaders each gateway counted as one that keeps the buckets and used a leader's share, three quarters of the ceiling. Change: a ceiling is a quota, so such customers get leaders and nothing is admitted without a lease. The ceiling's rate sets the number of leaders where it is all a plan has; other plans keep theirs.

--- /dev/null
+++ b/policy/ceiling_test.go
@@ -0,0 +1,169 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// ceilingDemand is how many times its ceiling a customer requests.
+const ceilingDemand = 5
+
+// ceilingDelay is the time by which an attempt may come later than the grant of its lease: the bucket of the
+// whole fleet may be exceeded by what the ceiling lets pass in this time.
+const ceilingDelay = 250 * ms
+
+// ceilingFleet is a fleet that receives requests of one customer far above its ceiling. Whatever else happens,
+// the attempts must fit one bucket.
+type ceilingFleet struct {
+	*gatewayFleet
+	plan      Plan
+	units     float64 // of each request
+	spread    int
+	clientsAt int // clients use the gateways below this number, in turn
+	asked     float64
+	requested int
+	loadTime  time.Duration
+}
+
+func newCeilingFleet(t *testing.T, gateways int, plan string, units float64) *ceilingFleet {
+	t.Helper()
+	f := &ceilingFleet{
+		gatewayFleet: newGatewayFleet(t, gateways, testServers(40)),
+		units:        units,
+		spread:       gateways,
+		clientsAt:    gateways,
+	}
+	for _, p := range baseSettings().Plans {
+		if p.Name == plan {
+			f.plan = p
+		}
+	}
+	return f
+}
+
+// load sends the requests that are due in one step of 10 ms.
+func (f *ceilingFleet) load(time.Duration) {
+	f.loadTime += 10 * ms
+	for f.asked += ceilingDemand * f.plan.HardRate / 100; f.asked >= f.units; f.asked -= f.units {
+		f.requested++
+		i := f.requested * 7 % f.clientsAt
+		f.handle(i, Request{ID: RequestID(f.requested), Customer: testCustomer, Plan: f.plan.Name, Class: "safe",
+			Units: f.units, Remaining: 2 * time.Second, GatewaySpread: f.spread})
+	}
+}
+
+// resize has the gateways hear of a new size one after the other, in two stages, under load.
+func (f *ceilingFleet) resize(to int) {
+	before := f.gateways[0].size.gateways
+	for _, previous := range []int{before, ResizeComplete} {
+		for i := range f.gateways {
+			f.handle(i, FleetResized{Gateways: to, PreviousSize: previous})
+			f.advance(10*ms, f.load)
+		}
+	}
+}
+
+// restart replaces a gateway by a new process that remembers nothing.
+func (f *ceilingFleet) restart(i int) {
+	f.t.Helper()
+	g, err := New(f.gateways[i].settings, uint64(f.requested)+1000)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.gateways[i] = g
+	f.handle(i, EndpointUpdate{Kind: CachedUpdate, Servers: testServers(40)})
+}
+
+// leader is the number of the customer's quota leader.
+func (f *ceilingFleet) leader() int {
+	g := f.gateways[0]
+	leaders, _ := g.quotaLeaders(g.customers.byKey[customerKey(testCustomer)], g.size)
+	return leaders[0]
+}
+
+// check compares the attempts with one bucket for the whole fleet, and what was served with the least share of
+// the ceiling.
+func (f *ceilingFleet) check(least float64) {
+	f.t.Helper()
+	level, worst, last := f.plan.HardBurst, f.plan.HardBurst, 10*time.Second
+	for _, at := range f.sentAt {
+		level = min(f.plan.HardBurst, level+f.plan.HardRate*(at-last).Seconds()) - f.units
+		last = at
+		worst = min(worst, level)
+	}
+	if slack := f.plan.HardRate * ceilingDelay.Seconds(); worst < -slack-1e-9 {
+		f.t.Errorf("the ceiling's bucket of %v fell to %.2f, %.2f allowed", f.plan.HardBurst, worst, -slack)
+	}
+	passed := f.plan.HardRate * f.loadTime.Seconds() // the shares of the bucket are empty at the start
+	if served := float64(len(f.sends)) * f.units / passed; served < least {
+		f.t.Errorf("%.2f of what the ceiling lets pass was served, at least %.2f wanted", served, least)
+	}
+}
+
+// A customer under a ceiling alone is admitted no more than the ceiling by the whole fleet, and is served where
+// messages arrive.
+func TestCeilingAloneHoldsInFleets(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name     string
+		gateways int
+		least    float64 // of the ceiling
+		play     func(*ceilingFleet)
+	}{
+		{"full mesh", 3, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
+		{"24 gateways", 24, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
+		{"60 gateways", 60, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
+		{"150 gateways", 150, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
+		{"clients at three of 60", 60, 0.7, func(f *ceilingFleet) {
+			f.spread, f.clientsAt = 3, 3
+			f.advance(20*second, f.load)
+		}},
+		{"clients beyond the customer's three gateways", 60, 0.5, func(f *ceilingFleet) {
+			f.spread = 3
+			f.advance(20*second, f.load)
+		}},
+		{"all messages lost", 60, 0, func(f *ceilingFleet) {
+			f.lost = func(int, int) bool { return true }
+			f.advance(20*second, f.load)
+		}},
+		{"a third cut off", 60, 0.5, func(f *ceilingFleet) {
+			f.lost = func(from, to int) bool { return (from < 20) != (to < 20) }
+			f.advance(20*second, f.load)
+		}},
+		{"one message in four lost", 60, 0.7, func(f *ceilingFleet) {
+			sent := 0
+			f.lost = func(int, int) bool { sent++; return sent%4 == 0 }
+			f.advance(20*second, f.load)
+		}},
+		{"leader silent", 60, 0.2, func(f *ceilingFleet) {
+			f.advance(5*second, f.load)
+			leader := f.leader()
+			f.lost = func(from, to int) bool { return from == leader || to == leader }
+			f.advance(15*second, f.load)
+		}},
+		{"leader restarted", 60, 0.5, func(f *ceilingFleet) {
+			for range 10 {
+				f.advance(2*second, f.load)
+				f.restart(f.leader())
+			}
+		}},
+		{"into leader mode and back", 60, 0.2, func(f *ceilingFleet) {
+			for _, size := range []int{20, 60, 8, 60} {
+				f.advance(3*second, f.load)
+				f.resize(size)
+				f.clientsAt = size
+			}
+			f.advance(3*second, f.load)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newCeilingFleet(t, c.gateways, "hard", 1)
+			c.play(f)
+			f.advance(second, nil)
+			f.check(c.least)
+			if len(f.sends)+f.rejected != f.requested {
+				t.Errorf("%d admitted and %d rejected of %d", len(f.sends), f.rejected, f.requested)
+			}
+		})
+	}
+}
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -64,6 +64,18 @@
 	index byte // the low 8 bits of the position
 }
 
+// hasQuota reports whether the plan limits its customers at all.
+func (p *Plan) hasQuota() bool { return p.Rate > 0 || p.MaxInFlight > 0 || p.HardRate > 0 }
+
+// leasedRate is the rate in units a second at which leaders grant leases at most. For a plan without a rate
+// quota it is that of the ceiling, if the ceiling is all it has; leases under a cap have no rate.
+func (p *Plan) leasedRate() float64 {
+	if p.Rate == 0 && p.MaxInFlight == 0 {
+		return p.HardRate
+	}
+	return p.Rate
+}
+
 // customerKey is the FNV-1a hash of a customer's name. All gateways must compute the same.
 func customerKey(name string) uint64 {
 	const offset, prime = 14695981039346656037, 1099511628211
--- a/policy/quota_leader.go
+++ b/policy/quota_leader.go
@@ -23,12 +23,11 @@
 	c.gatewaySpread = c.spreadIn(g.size)
 	leaders, standby := g.quotaLeaders(c, g.size)
 	isLeader := slices.Contains(leaders, g.settings.SelfIndex)
-	hasQuota := c.plan.Rate > 0 || c.plan.MaxInFlight > 0
 	c.leaders = leaderPair{}
 	switch {
 	case isLeader || !g.size.leaderMode:
 		g.assignPeerViews(c, leaders)
-	case hasQuota:
+	case c.plan.hasQuota():
 		leader := leaders[g.settings.SelfIndex%len(leaders)]
 		c.leaders = leaderPair{assigned: true, leader: leader, standby: standby}
 	}
@@ -58,7 +57,7 @@
 
 // leadersNeeded is the number of leaders that can receive the lease requests for a customer.
 func (g *Gateway) leadersNeeded(c *customer) int {
-	units := leaderPeakFactor * c.plan.Rate
+	units := leaderPeakFactor * c.plan.leasedRate()
 	if c.plan.MaxInFlight > 0 {
 		units += c.plan.Rate // each lease within the quota is returned by a message of its own
 	}
@@ -69,9 +68,7 @@
 
 // ceilingDivisor is one over the share of a customer's ceiling that this gateway may use now. In leader mode
 // every gateway that requests leases keeps the standby leader's share, but only the standby leader grants
-// leases from it: without a lease no gateway admits a request under a ceiling. A customer with a ceiling but
-// neither a rate quota nor an in-flight cap has no leases: there every gateway uses a leader's share, and the
-// gateways together exceed the ceiling.
+// leases from it: without a lease no gateway admits a request under a ceiling.
 func (g *Gateway) ceilingDivisor(c *customer, leaders int) float64 {
 	if g.previousSize.isSet() {
 		return max(g.ceilingDivisorIn(c, g.previousSize), g.ceilingDivisorIn(c, g.size))
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -80,8 +80,7 @@
 
 	// HardRate is the rate of the hard ceiling in units a second. 0: no ceiling. Unlike the rate quota
 	// the ceiling is split into fixed shares and never exceeded, not even while gateways cannot exchange
-	// messages; but in leader mode this holds only for plans with a Rate or a MaxInFlight above 0, since
-	// others have no quota leaders.
+	// messages.
 	HardRate float64
 
 	// HardBurst is the capacity of the ceiling's token bucket, in units.
