Policy: gateways that hold no share of a ceiling admit nothing under it

What callers saw: after a fleet had shrunk, clients that stayed at a gateway whose number had left were admitted a further share of the ceiling there; fleets of 60 to 20 to 8 and 24 to 8 passed several times the ceiling. In full mesh so did gateways that are none of the customer's own. Cause: once a change was complete, ceilingDivisor went by the fleet's size alone. It did not ask whether this gateway is one that holds a share; ceilingDivisorIn, used during a change, does. Can it happen: yes. membership gives a leaving node the same FleetResized as the others, and it serves its clients until an operator stops it. Evidence: three new cases of TestCeilingAloneHoldsInFleets. Change: ceilingDivisor is always that of ceilingDivisorIn, the smaller one during a change.

--- a/policy/ceiling_test.go
+++ b/policy/ceiling_test.go
@@ -122,6 +122,10 @@
 			f.spread = 3
 			f.advance(20*second, f.load)
 		}},
+		{"clients beyond the customer's gateways in full mesh", 6, 0.3, func(f *ceilingFleet) {
+			f.spread = 3
+			f.advance(20*second, f.load)
+		}},
 		{"all messages lost", 60, 0, func(f *ceilingFleet) {
 			f.lost = func(int, int) bool { return true }
 			f.advance(20*second, f.load)
@@ -155,6 +159,18 @@
 			}
 			f.advance(3*second, f.load)
 		}},
+		{"clients at gateways that left, of 60", 60, 0.2, func(f *ceilingFleet) {
+			f.advance(3*second, f.load)
+			f.resize(20)
+			f.advance(10*second, f.load)
+			f.resize(8)
+			f.advance(10*second, f.load)
+		}},
+		{"clients at gateways that left, of 24", 24, 0.2, func(f *ceilingFleet) {
+			f.advance(3*second, f.load)
+			f.resize(8)
+			f.advance(20*second, f.load)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newCeilingFleet(t, c.gateways, "hard", 1)
--- a/policy/quota_leader.go
+++ b/policy/quota_leader.go
@@ -31,7 +31,7 @@
 		leader := leaders[g.settings.SelfIndex%len(leaders)]
 		c.leaders = leaderPair{assigned: true, leader: leader, standby: standby}
 	}
-	c.ceilingDivisor = g.ceilingDivisor(c, len(leaders))
+	c.ceilingDivisor = g.ceilingDivisor(c)
 }
 
 // spreadIn is the number of gateways through which the customer comes in, in a fleet of a size.
@@ -66,24 +66,20 @@
 	return max(1, int(math.Ceil(messages/perLeader)))
 }
 
-// ceilingDivisor is one over the share of a customer's ceiling that this gateway may use now. In leader mode
-// every gateway that requests leases keeps the standby leader's share, but only the standby leader grants
-// leases from it: without a lease no gateway admits a request under a ceiling.
-func (g *Gateway) ceilingDivisor(c *customer, leaders int) float64 {
+// ceilingDivisor is one over the share of a customer's ceiling that this gateway may use now: while the fleet
+// is resized, the smaller of its shares in the old and in the new fleet.
+func (g *Gateway) ceilingDivisor(c *customer) float64 {
+	divisor := g.ceilingDivisorIn(c, g.size)
 	if g.previousSize.isSet() {
-		return max(g.ceilingDivisorIn(c, g.previousSize), g.ceilingDivisorIn(c, g.size))
+		divisor = max(divisor, g.ceilingDivisorIn(c, g.previousSize))
 	}
-	switch {
-	case !g.size.leaderMode:
-		return float64(c.gatewaySpread)
-	case !c.keepsBuckets():
-		return 1 / standbyCeilingShare
-	}
-	return float64(leaders) / (1 - standbyCeilingShare)
+	return divisor
 }
 
 // ceilingDivisorIn is one over the share of a customer's ceiling that this gateway holds in a fleet of a
-// size. It is infinite where it holds none.
+// size. It is infinite where it holds none: only the customer's leaders and, in leader mode, the standby
+// leader admit requests under the ceiling. Other gateways may have clients all the same: those outside the
+// customer's own gateways, and those that have left the fleet and still run.
 func (g *Gateway) ceilingDivisorIn(c *customer, size fleetSize) float64 {
 	if size.isUnknown() {
 		return math.Inf(1)
