Policy: shares of a ceiling start empty after a change of the fleet's size

Cause: fillBuckets filled the share for a customer new at a gateway for the time since the gateway's start, at its present share, which it may not have held before the change. Evidence: TestCeilingShareIsEmptyAfterResize, new. Change: the time counts from the last FleetResized. Known customers carry their tokens over as before.

--- a/policy/ceiling_test.go
+++ b/policy/ceiling_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -45,20 +46,24 @@
 func (f *ceilingFleet) load(time.Duration) {
 	f.loadTime += 10 * ms
 	for f.asked += ceilingDemand * f.plan.HardRate / 100; f.asked >= f.units; f.asked -= f.units {
-		f.requested++
-		i := f.requested * 7 % f.clientsAt
-		f.handle(i, Request{ID: RequestID(f.requested), Customer: testCustomer, Plan: f.plan.Name, Class: "safe",
-			Units: f.units, Remaining: 2 * time.Second, GatewaySpread: f.spread})
+		f.request((f.requested + 1) * 7 % f.clientsAt)
 	}
 }
 
-// resize has the gateways hear of a new size one after the other, in two stages, under load.
-func (f *ceilingFleet) resize(to int) {
+// request sends a gateway a request.
+func (f *ceilingFleet) request(gateway int) {
+	f.requested++
+	f.handle(gateway, Request{ID: RequestID(f.requested), Customer: testCustomer, Plan: f.plan.Name, Class: "safe",
+		Units: f.units, Remaining: 2 * time.Second, GatewaySpread: f.spread})
+}
+
+// resize has the gateways hear of a new size one after the other, in two stages.
+func (f *ceilingFleet) resize(to int, between time.Duration, step func(time.Duration)) {
 	before := f.gateways[0].size.gateways
 	for _, previous := range []int{before, ResizeComplete} {
 		for i := range f.gateways {
 			f.handle(i, FleetResized{Gateways: to, PreviousSize: previous})
-			f.advance(10*ms, f.load)
+			f.advance(between, step)
 		}
 	}
 }
@@ -74,11 +79,31 @@
 	f.handle(i, EndpointUpdate{Kind: CachedUpdate, Servers: testServers(40)})
 }
 
+// holders are the gateways that hold a share of the ceiling in a fleet of a size.
+func (f *ceilingFleet) holders(gateways int) []int {
+	g := f.gateways[0]
+	size := g.fleetSizeOf(gateways)
+	c := &customer{key: customerKey(testCustomer), plan: g.plans[f.plan.Name], requestedSpread: f.spread}
+	leaders, standby := g.quotaLeaders(c, size)
+	if size.leaderMode {
+		leaders = append(leaders, standby)
+	}
+	return leaders
+}
+
+// burst sends each of some gateways more requests than the ceiling's bucket holds.
+func (f *ceilingFleet) burst(gateways []int) {
+	for _, i := range gateways {
+		for range int(2 * f.plan.HardBurst / f.units) {
+			f.request(i)
+		}
+	}
+}
+
 // leader is the number of the customer's quota leader.
 func (f *ceilingFleet) leader() int {
 	g := f.gateways[0]
-	leaders, _ := g.quotaLeaders(g.customers.byKey[customerKey(testCustomer)], g.size)
-	return leaders[0]
+	return f.holders(g.size.gateways)[0]
 }
 
 // check compares the attempts with one bucket for the whole fleet, and what was served with the least share of
@@ -100,82 +125,84 @@
 	}
 }
 
+// ceilingCases are what happens to a fleet in TestCeilingAloneHoldsInFleets.
+var ceilingCases = []struct {
+	name     string
+	gateways int
+	least    float64 // of the ceiling
+	play     func(*ceilingFleet)
+}{
+	{"full mesh", 3, 0.7, func(f *ceilingFleet) { f.advance(20*time.Second, f.load) }},
+	{"24 gateways", 24, 0.7, func(f *ceilingFleet) { f.advance(20*time.Second, f.load) }},
+	{"60 gateways", 60, 0.7, func(f *ceilingFleet) { f.advance(20*time.Second, f.load) }},
+	{"150 gateways", 150, 0.7, func(f *ceilingFleet) { f.advance(20*time.Second, f.load) }},
+	{"clients at three of 60", 60, 0.7, func(f *ceilingFleet) {
+		f.spread, f.clientsAt = 3, 3
+		f.advance(20*time.Second, f.load)
+	}},
+	{"clients beyond the customer's three gateways", 60, 0.5, func(f *ceilingFleet) {
+		f.spread = 3
+		f.advance(20*time.Second, f.load)
+	}},
+	{"clients beyond the customer's gateways in full mesh", 6, 0.3, func(f *ceilingFleet) {
+		f.spread = 3
+		f.advance(20*time.Second, f.load)
+	}},
+	{"all messages lost", 60, 0, func(f *ceilingFleet) {
+		f.lost = func(int, int) bool { return true }
+		f.advance(20*time.Second, f.load)
+	}},
+	{"a third cut off", 60, 0.5, func(f *ceilingFleet) {
+		f.lost = func(from, to int) bool { return (from < 20) != (to < 20) }
+		f.advance(20*time.Second, f.load)
+	}},
+	{"one message in four lost", 60, 0.7, func(f *ceilingFleet) {
+		sent := 0
+		f.lost = func(int, int) bool { sent++; return sent%4 == 0 }
+		f.advance(20*time.Second, f.load)
+	}},
+	{"leader silent", 60, 0.2, func(f *ceilingFleet) {
+		f.advance(5*time.Second, f.load)
+		leader := f.leader()
+		f.lost = func(from, to int) bool { return from == leader || to == leader }
+		f.advance(15*time.Second, f.load)
+	}},
+	{"leader restarted", 60, 0.5, func(f *ceilingFleet) {
+		for range 10 {
+			f.advance(2*time.Second, f.load)
+			f.restart(f.leader())
+		}
+	}},
+	{"into leader mode and back", 60, 0.2, func(f *ceilingFleet) {
+		for _, size := range []int{20, 60, 8, 60} {
+			f.advance(3*time.Second, f.load)
+			f.resize(size, 10*ms, f.load)
+			f.clientsAt = size
+		}
+		f.advance(3*time.Second, f.load)
+	}},
+	{"clients at gateways that left, of 60", 60, 0.2, func(f *ceilingFleet) {
+		f.advance(3*time.Second, f.load)
+		f.resize(20, 10*ms, f.load)
+		f.advance(10*time.Second, f.load)
+		f.resize(8, 10*ms, f.load)
+		f.advance(10*time.Second, f.load)
+	}},
+	{"clients at gateways that left, of 24", 24, 0.2, func(f *ceilingFleet) {
+		f.advance(3*time.Second, f.load)
+		f.resize(8, 10*ms, f.load)
+		f.advance(20*time.Second, f.load)
+	}},
+}
+
 // A customer under a ceiling alone is admitted no more than the ceiling by the whole fleet, and is served where
 // messages arrive.
 func TestCeilingAloneHoldsInFleets(t *testing.T) {
-	const second = time.Second
-	for _, c := range []struct {
-		name     string
-		gateways int
-		least    float64 // of the ceiling
-		play     func(*ceilingFleet)
-	}{
-		{"full mesh", 3, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
-		{"24 gateways", 24, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
-		{"60 gateways", 60, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
-		{"150 gateways", 150, 0.7, func(f *ceilingFleet) { f.advance(20*second, f.load) }},
-		{"clients at three of 60", 60, 0.7, func(f *ceilingFleet) {
-			f.spread, f.clientsAt = 3, 3
-			f.advance(20*second, f.load)
-		}},
-		{"clients beyond the customer's three gateways", 60, 0.5, func(f *ceilingFleet) {
-			f.spread = 3
-			f.advance(20*second, f.load)
-		}},
-		{"clients beyond the customer's gateways in full mesh", 6, 0.3, func(f *ceilingFleet) {
-			f.spread = 3
-			f.advance(20*second, f.load)
-		}},
-		{"all messages lost", 60, 0, func(f *ceilingFleet) {
-			f.lost = func(int, int) bool { return true }
-			f.advance(20*second, f.load)
-		}},
-		{"a third cut off", 60, 0.5, func(f *ceilingFleet) {
-			f.lost = func(from, to int) bool { return (from < 20) != (to < 20) }
-			f.advance(20*second, f.load)
-		}},
-		{"one message in four lost", 60, 0.7, func(f *ceilingFleet) {
-			sent := 0
-			f.lost = func(int, int) bool { sent++; return sent%4 == 0 }
-			f.advance(20*second, f.load)
-		}},
-		{"leader silent", 60, 0.2, func(f *ceilingFleet) {
-			f.advance(5*second, f.load)
-			leader := f.leader()
-			f.lost = func(from, to int) bool { return from == leader || to == leader }
-			f.advance(15*second, f.load)
-		}},
-		{"leader restarted", 60, 0.5, func(f *ceilingFleet) {
-			for range 10 {
-				f.advance(2*second, f.load)
-				f.restart(f.leader())
-			}
-		}},
-		{"into leader mode and back", 60, 0.2, func(f *ceilingFleet) {
-			for _, size := range []int{20, 60, 8, 60} {
-				f.advance(3*second, f.load)
-				f.resize(size)
-				f.clientsAt = size
-			}
-			f.advance(3*second, f.load)
-		}},
-		{"clients at gateways that left, of 60", 60, 0.2, func(f *ceilingFleet) {
-			f.advance(3*second, f.load)
-			f.resize(20)
-			f.advance(10*second, f.load)
-			f.resize(8)
-			f.advance(10*second, f.load)
-		}},
-		{"clients at gateways that left, of 24", 24, 0.2, func(f *ceilingFleet) {
-			f.advance(3*second, f.load)
-			f.resize(8)
-			f.advance(20*second, f.load)
-		}},
-	} {
+	for _, c := range ceilingCases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newCeilingFleet(t, c.gateways, "hard", 1)
 			c.play(f)
-			f.advance(second, nil)
+			f.advance(time.Second, nil)
 			f.check(c.least)
 			if len(f.sends)+f.rejected != f.requested {
 				t.Errorf("%d admitted and %d rejected of %d", len(f.sends), f.rejected, f.requested)
@@ -183,3 +210,28 @@
 		})
 	}
 }
+
+// Gateways that get a larger share of a ceiling by a change of the fleet start with it empty, also for customers
+// that they have not seen: those who held the share before may have used it up.
+func TestCeilingShareIsEmptyAfterResize(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after int
+	}{
+		{"into leader mode", 20, 60},
+		{"out of leader mode", 60, 20},
+		{"growing", 4, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newCeilingFleet(t, max(c.before, c.after), "hard", 1)
+			f.spread = max(c.before, c.after)
+			f.resize(c.before, 0, nil)
+			f.advance(time.Minute, nil)
+			holders := f.holders(c.after)
+			f.burst(slices.DeleteFunc(f.holders(c.before), func(i int) bool { return slices.Contains(holders, i) }))
+			f.resize(c.after, 0, nil)
+			f.burst(holders)
+			f.check(0)
+		})
+	}
+}
--- a/policy/fleet_size.go
+++ b/policy/fleet_size.go
@@ -63,6 +63,7 @@
 			g.createPeers() // reports of the full mesh may still arrive
 		}
 	}
+	g.resizedAt = g.now
 	g.resizeFleet(ev.Gateways)
 	for _, c := range g.customers.ring {
 		g.refill(c)
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -39,8 +39,9 @@
 	requests  map[RequestID]*request // local requests that are not finished or have an attempt in flight
 
 	size         fleetSize
-	previousSize fleetSize    // before a change that is not complete; see fleetSize.isSet
-	peers        []*peerState // by number of the gateway; nil: not needed in leader mode so far
+	previousSize fleetSize     // before a change that is not complete; see fleetSize.isSet
+	resizedAt    time.Duration // of the start or the last FleetResized
+	peers        []*peerState  // by number of the gateway; nil: not needed in leader mode so far
 
 	endpoints   endpointList
 	latency     latencyModel
@@ -105,6 +106,7 @@
 func (g *Gateway) start() {
 	g.started = true
 	g.startedAt = g.now
+	g.resizedAt = g.now
 	g.tick.lastAt = g.now
 	phase := time.Duration(g.rng.Int64N(int64(g.tick.interval))) + 1
 	g.do(SetTimer{Token: tickTimer, After: phase})
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -50,8 +50,10 @@
 	if g.size.leaderMode && c.plan.Rate > 0 && sinceStart < c.plan.Burst/c.plan.Rate {
 		c.tokens *= restartedLeaderFill
 	}
-	// The share of the ceiling is empty when the gateway starts: an earlier process may have used it up.
-	c.ceilingTokens = min(c.plan.HardBurst, c.plan.HardRate*sinceStart) / c.ceilingDivisor
+	// The share of the ceiling is empty when the gateway starts, and when the shares change: an earlier
+	// process, or the gateways that held it before, may have used it up.
+	sinceResize := (g.now - g.resizedAt).Seconds()
+	c.ceilingTokens = min(c.plan.HardBurst, c.plan.HardRate*sinceResize) / c.ceilingDivisor
 }
 
 // refill brings a customer's buckets and demand up to now.
