Policy: fractions of a unit, and very many units, count at other gateways

What callers saw: in leader mode requests of 0.5 units passed hard ceilings without limit, and of 1.4 or 1.5 units more than the ceiling. In full mesh three gateways passed 2.98 times a rate quota with requests of 0.5 units, 1.23 times with 1.4, 4.76 times with 40,000 units. Cause: lease requests and running totals converted units to uint16: fractions were cut off, more than 65,535 units undefined, and a total's change of 32,768 or more was read as a negative one. Evidence: TestCeilingCountsFractionsOfAUnit failed in 12 cases before (bucket of 20 down to -380), TestQuotaCountsFractionsAndManyUnitsInFullMesh in 5 of 6; TestLeaseUnitsAreRoundedUp and two rows of TestPeerMessagesHaveGoldenBytes hold the encoding. All pass now. Change: lease requests carry units rounded up to 1/128, in bits that older builds read as a client's retry of the next whole number: they grant less. Whole units keep their bytes. Totals add fractions up, hold whole units rounded up, and advance by at most 8,192 a report. In leader mode a request of more than 65,535 units is rejected.

--- a/policy/ceiling_test.go
+++ b/policy/ceiling_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -235,3 +236,20 @@
 		})
 	}
 }
+
+// Requests of fractions of a unit, and of many units, count in full against the ceiling of the whole fleet and
+// against the rate quota.
+func TestCeilingCountsFractionsOfAUnit(t *testing.T) {
+	for _, gateways := range []int{3, 60} {
+		for _, plan := range []string{"hard", "hard and rate", "hard and open"} {
+			for _, units := range []float64{0.1, 0.3, 0.5, 0.7, 1, 1.4, 1.5, 3.99} {
+				t.Run(fmt.Sprintf("%d gateways, %s, %v units", gateways, plan, units), func(t *testing.T) {
+					f := newCeilingFleet(t, gateways, plan, units)
+					f.advance(10*time.Second, f.load)
+					f.advance(time.Second, nil)
+					f.check(0.55)
+				})
+			}
+		}
+	}
+}
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -40,7 +40,8 @@
 
 	// Load reports; load_report.go has the rules.
 	peerViews        []*peerView // one for each other gateway that keeps the customer's buckets
-	admittedUnits    uint16      // running total of units, wraps around
+	admittedUnits    uint16      // running total of units, wraps around; see countAdmitted
+	uncountedUnits   float64     // admitted, and not in admittedUnits; above -1
 	reportedUnits    uint16      // admittedUnits as last reported
 	pendingReports   int         // number of reports that must still carry the last change
 	lastExchangeTick uint32      // tick of the last report or lease response; 0: none
--- a/policy/events.go
+++ b/policy/events.go
@@ -12,8 +12,8 @@
 type Event interface{ event() }
 
 // Request is a request of a client. It gets exactly one final response: that of an attempt, or a Reject or
-// Fail. A client's retry is a new Request. Messages to other gateways carry its Units as a whole number of 16
-// bits, so the other gateways do not count fractions, and more than 65535 units cannot be represented.
+// Fail. A client's retry is a new Request. Other gateways count its Units rounded up to 1/128, and running
+// totals of them rounded up to whole units. In leader mode a request of more than 65,535 units is rejected.
 type Request struct {
 	ID        RequestID
 	Customer  string        // whose quotas apply
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -39,6 +39,8 @@
 			{Name: "open", MaxInFlight: 2},
 			{Name: "hard", HardRate: 10, HardBurst: 20},
 			{Name: "both", Rate: 10, Burst: 10, MaxInFlight: 2},
+			{Name: "hard and rate", Rate: 10, Burst: 20, HardRate: 10, HardBurst: 20},
+			{Name: "hard and open", MaxInFlight: 100, HardRate: 10, HardBurst: 20},
 		},
 		ResponseGrace: 8 * ms, InitialCapacity: 0.2, WarmupTime: 10 * time.Second, ColdOverloadFactor: 2,
 		ColdOverloadTime: time.Second}
--- a/policy/lease_client.go
+++ b/policy/lease_client.go
@@ -88,6 +88,10 @@
 		g.admit(r)
 		return
 	}
+	if r.units > maxLeaseUnits {
+		g.reject(r, ReasonQuotaExceeded)
+		return
+	}
 	partitionChance := g.leases.partitionChance()
 	tooLate := r.lease.requests > leaderAttempts || g.now+g.timerMargin() >= r.deadline
 	if tooLate || r.lease.requests > 0 && g.rng.Float64() < partitionChance {
@@ -134,7 +138,7 @@
 		GatewaySpread: uint16(min(c.requestedSpread, math.MaxUint16)),
 		Plan:          c.plan.index,
 		Class:         byte(r.class.index),
-		Units:         uint16(r.units),
+		Units:         r.units,
 		RemainingMS:   milliseconds(r.deadline - g.now),
 		Tag:           r.lease.key.tag,
 		Chance:        encodeShare(r.lease.chance),
--- a/policy/lease_grant.go
+++ b/policy/lease_grant.go
@@ -40,7 +40,7 @@
 	g.refill(c)
 	c.lastRequestAt = g.now
 	c.grantsLeases = true
-	c.demand += float64(m.Units) * wholeShare / float64(max(1, m.Chance))
+	c.demand += m.Units * wholeShare / float64(max(1, m.Chance))
 	g.admit(g.newRemoteRequest(c, from, m))
 }
 
--- a/policy/load_report.go
+++ b/policy/load_report.go
@@ -9,6 +9,10 @@
 	// leaderReportTicks is the number of ticks between the reports of a customer's leaders to each other.
 	leaderReportTicks = 2
 
+	// maxReportedAdvance is the number of units by which a running total changes from one report to the next
+	// at most. Reports may be lost, and a receiver takes 32,768 units or more for a negative change.
+	maxReportedAdvance = 8192
+
 	// priorityPerUnreportedTick is added to the priority of a customer for each tick without a report, so
 	// that no customer starves.
 	priorityPerUnreportedTick = 0.01
@@ -115,6 +119,7 @@
 		if c.lastExchangeTick == g.tick.count {
 			c.pendingReports = max(0, c.pendingReports-1)
 			c.reportedUnits = c.admittedUnits
+			c.advanceTotal()
 		}
 	}
 }
@@ -135,7 +140,7 @@
 
 // hasChanges reports whether the customer must be reported to peers.
 func (c *customer) hasChanges() bool {
-	return len(c.peerViews) > 0 && (c.isBusy() || c.pendingReports > 0)
+	return len(c.peerViews) > 0 && (c.isBusy() || c.pendingReports > 0 || c.hasUncountedUnits())
 }
 
 // reportPriority ranks a customer in reports: queued requests and units not reported yet, as a share of
--- a/policy/peer_messages.go
+++ b/policy/peer_messages.go
@@ -54,13 +54,13 @@
 	Customer      uint64 // customerKey
 	FirstGateway  uint16
 	GatewaySpread uint16
-	Plan          byte   // position in the settings
-	Class         byte   // position in the settings
-	Units         uint16 // fractions of a unit are dropped
-	RemainingMS   uint16 // milliseconds until the client gives up
-	Tag           uint32 // names the lease between the two gateways
-	Chance        byte   // probability with which a lease was requested at all, encoded by encodeShare
-	Fill          byte   // fill of the bucket as the leader last reported it, or unknownFill
+	Plan          byte    // position in the settings
+	Class         byte    // position in the settings
+	Units         float64 // encoded by encodeUnits
+	RemainingMS   uint16  // milliseconds until the client gives up
+	Tag           uint32  // names the lease between the two gateways
+	Chance        byte    // probability with which a lease was requested at all, encoded by encodeShare
+	Fill          byte    // fill of the bucket as the leader last reported it, or unknownFill
 	ClientRetry   bool
 }
 
@@ -110,10 +110,11 @@
 	b = binary.BigEndian.AppendUint16(b, m.FirstGateway)
 	b = binary.BigEndian.AppendUint16(b, m.GatewaySpread)
 	b = append(b, m.Plan, m.Class)
-	b = binary.BigEndian.AppendUint16(b, m.Units)
+	units, excess := encodeUnits(m.Units)
+	b = binary.BigEndian.AppendUint16(b, units)
 	b = binary.BigEndian.AppendUint16(b, m.RemainingMS)
 	b = binary.BigEndian.AppendUint32(b, m.Tag)
-	return append(b, m.Chance, m.Fill, boolByte(m.ClientRetry))
+	return append(b, m.Chance, m.Fill, excess<<excessShift|boolByte(m.ClientRetry))
 }
 
 func (m leaseResponse) encode() []byte {
@@ -174,12 +175,12 @@
 			GatewaySpread: number.Uint16(b[10:]),
 			Plan:          b[12],
 			Class:         b[13],
-			Units:         number.Uint16(b[14:]),
+			Units:         decodeUnits(number.Uint16(b[14:]), b[24]>>excessShift),
 			RemainingMS:   number.Uint16(b[16:]),
 			Tag:           number.Uint32(b[18:]),
 			Chance:        b[22],
 			Fill:          b[23],
-			ClientRetry:   b[24] != 0,
+			ClientRetry:   b[24]&1 != 0,
 		}
 	case kindLeaseResponse:
 		return leaseResponse{
@@ -221,6 +222,31 @@
 	}
 }
 
+// Units of lease requests.
+const (
+	// maxLeaseUnits is the largest number of units of a lease request.
+	maxLeaseUnits = math.MaxUint16
+
+	// excessScale is the number of steps in a unit. The steps share a byte with ClientRetry.
+	excessScale = 128
+	excessShift = 1
+)
+
+// encodeUnits encodes units, up to maxLeaseUnits, as whole units rounded up, and how much these are too many
+// in steps of 1/excessScale, rounded down. Gateways of older builds read the whole units alone, and take a
+// request with an excess for a client's retry: they grant less. They send 0 whole units for less than one
+// unit; no other request has 0.
+func encodeUnits(units float64) (whole uint16, excess byte) {
+	up := max(1, math.Ceil(units))
+	steps := math.Floor((up - units) * excessScale)
+	return uint16(min(up, maxLeaseUnits)), byte(min(steps, excessScale-1))
+}
+
+// decodeUnits returns the encoded units, at most 1/excessScale above those that encodeUnits was given.
+func decodeUnits(whole uint16, excess byte) float64 {
+	return max(1, float64(whole)) - float64(excess)/excessScale
+}
+
 // Scales of one-byte figures.
 const (
 	// wholeShare is the byte that stands for a share of 1.
--- a/policy/peer_messages_test.go
+++ b/policy/peer_messages_test.go
@@ -18,6 +18,12 @@
 		{"lease request", "0300" + "0102030405060708" + "1112" + "2122" + "31" + "32" + "4142" + "5152" + "61626364" + "71" + "72" + "00",
 			leaseRequest{Customer: 0x0102030405060708, FirstGateway: 0x1112, GatewaySpread: 0x2122, Plan: 0x31, Class: 0x32, Units: 0x4142, RemainingMS: 0x5152,
 				Tag: 0x61626364, Chance: 0x71, Fill: 0x72}},
+		{"lease request of 1.5 units", "0300" + "0102030405060708" + "1112" + "2122" + "31" + "32" + "0002" + "5152" + "61626364" + "71" + "72" + "80",
+			leaseRequest{Customer: 0x0102030405060708, FirstGateway: 0x1112, GatewaySpread: 0x2122, Plan: 0x31, Class: 0x32, Units: 1.5, RemainingMS: 0x5152,
+				Tag: 0x61626364, Chance: 0x71, Fill: 0x72}},
+		{"lease request of a retry, half a unit", "0300" + "0102030405060708" + "1112" + "2122" + "31" + "32" + "0001" + "5152" + "61626364" + "71" + "72" + "81",
+			leaseRequest{Customer: 0x0102030405060708, FirstGateway: 0x1112, GatewaySpread: 0x2122, Plan: 0x31, Class: 0x32, Units: 0.5, RemainingMS: 0x5152,
+				Tag: 0x61626364, Chance: 0x71, Fill: 0x72, ClientRetry: true}},
 		{"lease response", "0301" + "01020304" + "05" + "06" + "07" + "08", leaseResponse{Tag: 0x01020304, Decision: 5, Fill: 6, Overload: 7, AdmittedShare: 8}},
 		{"lease return", "0302" + "0102030405060708" + "11121314" + "00", leaseReturn{Customer: 0x0102030405060708, Tag: 0x11121314}},
 		{"lease return, unused", "0302" + "0102030405060708" + "11121314" + "01",
@@ -49,6 +55,23 @@
 	}
 }
 
+// Units of lease requests are never read as less than was sent, and at most 1/128 more; those of gateways that
+// send whole units only are read as sent, and as one where they send 0 for less than one.
+func TestLeaseUnitsAreRoundedUp(t *testing.T) {
+	for _, units := range []float64{0, 1e-9, 0.01, 0.3, 0.5, 0.999, 1, 1.001, 1.5, 3.99, 1000, 65534.01, 65535} {
+		whole, excess := encodeUnits(units)
+		got := decodeUnits(whole, excess)
+		if got < units || got > units+1.0/128 || float64(whole) < units {
+			t.Errorf("%v units are read as %v, by older builds as %v", units, got, whole)
+		}
+	}
+	for _, whole := range []uint16{0, 1, 2, 65535} {
+		if got, want := decodeUnits(whole, 0), max(1, float64(whole)); got != want {
+			t.Errorf("%v whole units are read as %v", whole, got)
+		}
+	}
+}
+
 // Numbers that stand for names in messages and stored data keep their values.
 func TestCodesOnTheWireKeepTheirValues(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -193,23 +194,46 @@
 	return ReasonCeilingExceeded
 }
 
-// charge takes a request's units from the buckets. The running total for peers counts whole units only:
-// peers never learn of the fraction of a request's units.
+// charge takes a request's units from the buckets.
 func (c *customer) charge(r *request) {
 	c.tokens = max(0, c.tokens-r.units)
 	if !r.lease.granted { // the ceiling of a leased request is the leader's
 		c.ceilingTokens -= r.units
 	}
-	c.admittedUnits += uint16(r.units)
+	c.countAdmitted(r.units)
 }
 
 // settle takes the difference between a request's actual and charged units, which may be negative, from the
-// rate quota's bucket. The running total for peers drops its fraction, as in charge.
+// rate quota's bucket.
 func (c *customer) settle(units float64) {
 	c.tokens -= units
+	c.countAdmitted(units)
+}
+
+// countAdmitted adds units, which may be negative, to the running total for peers. The total holds whole
+// units, rounded up: it is less than one unit too high, and never too low.
+func (c *customer) countAdmitted(units float64) {
+	c.uncountedUnits += units
+	c.advanceTotal()
+}
+
+// advanceTotal brings the running total as near to the units admitted as one report may carry. The rest, if
+// any, follows with the next report.
+func (c *customer) advanceTotal() {
+	units := math.Ceil(c.uncountedUnits)
+	if len(c.peerViews) > 0 {
+		unreported := float64(int16(c.admittedUnits - c.reportedUnits))
+		least := min(0, -maxReportedAdvance-unreported)
+		most := max(0, maxReportedAdvance-unreported)
+		units = min(max(units, least), most)
+	}
+	c.uncountedUnits -= units
 	c.admittedUnits += uint16(int(units))
 }
 
+// hasUncountedUnits reports whether more has been admitted than the running total may show now.
+func (c *customer) hasUncountedUnits() bool { return math.Abs(c.uncountedUnits) >= 1 }
+
 // handleUsageLevel takes the tokens of a customer's bucket from an external counter. It is used only while
 // the gateway has not run long enough to know the tokens, or is isolated: otherwise a quota could be
 // granted twice.
--- a/policy/quota_test.go
+++ b/policy/quota_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -214,6 +215,40 @@
 	}
 }
 
+// The gateways of a full mesh count each other's fractions of a unit, and what a report cannot carry at once:
+// such requests use about as much of a quota as those of the same share of it in whole units.
+func TestQuotaCountsFractionsAndManyUnitsInFullMesh(t *testing.T) {
+	for _, c := range []struct{ rate, units float64 }{{10, 0.5}, {10, 1.4}, {10, 3.9}, {100_000, 14_000}, {100_000, 40_000}, {100_000, 70_000}} {
+		got, want := meshQuotaUse(t, c.rate, c.units), meshQuotaUse(t, 100, math.Round(100*c.units/c.rate))
+		if got > want+0.15 || got < want-0.15 {
+			t.Errorf("requests of %v units use %.2f of a quota of %v, others of that share %.2f", c.units, got, c.rate, want)
+		}
+	}
+}
+
+// meshQuotaUse is how much of its quota a customer uses that requests five times as much of three gateways.
+func meshQuotaUse(t *testing.T, rate, units float64) float64 {
+	t.Helper()
+	w := newGatewayFleet(t, 3, testServers(20))
+	for _, g := range w.gateways {
+		g.plans["rate"].Rate, g.plans["rate"].Burst = rate, rate
+	}
+	asked, requested := 0.0, 0
+	w.advance(20*time.Second, func(at time.Duration) {
+		for i := range w.gateways {
+			if at%(40*ms) == 0 {
+				w.handle(i, TimerFired{Token: tickTimer})
+			}
+		}
+		for asked += 5 * rate / 100; asked >= units; asked -= units {
+			requested++
+			w.handle(requested%3, Request{ID: RequestID(requested), Customer: "k", Plan: "rate", Class: "safe", Units: units,
+				Remaining: 2 * time.Second, GatewaySpread: 3})
+		}
+	})
+	return float64(len(w.sends)) * units / (21 * rate)
+}
+
 // A customer whose plan has a hard ceiling, but neither a rate nor a cap, is admitted no more units by all
 // gateways together than its ceiling holds, also in a fleet in leader mode.
 func TestCeilingAloneHoldsInLeaderMode(t *testing.T) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -89,7 +89,7 @@
 	return &request{
 		customer:    c,
 		class:       g.classes[g.settings.Classes[m.Class].Name],
-		units:       float64(m.Units),
+		units:       m.Units,
 		arrivedAt:   g.now,
 		deadline:    g.now + time.Duration(m.RemainingMS)*time.Millisecond,
 		clientRetry: m.ClientRetry,
