--- a/cmd/yardcleat/main.go
+++ b/cmd/yardcleat/main.go
@@ -3,22 +3,16 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/edgenode"
-	"yardcleat.example/yardcleat/gateway"
-	"yardcleat.example/yardcleat/internal/network"
 )
 
 func main() {
@@ -66,24 +60,6 @@
 	return cfg, err
 }
 
-func serveCommand() *cobra.Command {
-	var path string
-	var drain time.Duration
-	c := &cobra.Command{Use: "serve", Short: "Run a node", Args: cobra.NoArgs,
-		Long: "Run a node until SIGTERM or SIGINT: it then takes no new connections, ends what it holds and exits.\n" +
-			"A second signal ends it at once.",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := load(path)
-			if err != nil {
-				return err
-			}
-			return serve(cmd.Context(), cfg, drain)
-		}}
-	configFlag(c, &path)
-	c.Flags().DurationVar(&drain, "drain", 30*time.Second, "most time for what is held to end")
-	return c
-}
-
 func edgeCommand() *cobra.Command {
 	return &cobra.Command{Use: "edge", Short: "Run a node as an edge node of the users' platform", Args: cobra.NoArgs,
 		Long: "Run a node by the platform's configuration, in the file that NODE_CONFIG names, until SIGTERM;\n" +
@@ -91,37 +67,6 @@
 		RunE: func(cmd *cobra.Command, _ []string) error { return edgenode.Run(cmd.Context(), cmd.ErrOrStderr()) }}
 }
 
-func serve(ctx context.Context, cfg *config.Config, drain time.Duration) error {
-	if cfg.StateDir != "" {
-		if err := os.MkdirAll(cfg.StateDir, 0o700); err != nil {
-			return err
-		}
-	}
-	log := logger(os.Stderr, cfg).With("node", cfg.Number)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	g, err := gateway.Start(cfg, gateway.Options{Network: network.OS{}, Log: log})
-	if err != nil {
-		return err
-	}
-	log.Info("serving", "pid", os.Getpid())
-	select {
-	case s := <-signals:
-		log.Info("draining", "signal", s.String())
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain)
-	defer cancel()
-	go func() {
-		s := <-signals
-		log.Warn("ending at once", "signal", s.String())
-		cancel()
-	}()
-	err = g.Drain(ctx)
-	log.Info("ended")
-	return err
-}
-
 func logger(w io.Writer, cfg *config.Config) *slog.Logger {
 	o := &slog.HandlerOptions{Level: cfg.LogLevel}
 	if cfg.LogJSON {
--- /dev/null
+++ b/cmd/yardcleat/process_bed_test.go
@@ -0,0 +1,352 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// childVariable marks a process that is to be the program itself.
+const childVariable = "YARDCLEAT_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(childVariable) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// longestDeadline is that of the classes in the configurations below.
+const longestDeadline = 3 * time.Second
+
+// The idempotency of the classes, as the requests of this test name them.
+const (
+	classSafe   = "lookup"
+	classKeyed  = "loan-change"
+	classUnsafe = "order"
+)
+
+// nodeProcess is a node in a process of its own.
+type nodeProcess struct {
+	t       *testing.T
+	edge    bool // yardcleat edge; else yardcleat serve
+	address string
+	cmd     *exec.Cmd
+	log     bytes.Buffer // read it only once exited is closed
+	err     error        // of the exit; the same
+	exited  chan struct{}
+}
+
+// startNode starts a node and waits until it answers.
+func startNode(t *testing.T, edge bool, servers *serverFleet, discovery string) *nodeProcess {
+	t.Helper()
+	p := &nodeProcess{t: t, edge: edge, address: freeAddress(t), exited: make(chan struct{})}
+	path := filepath.Join(t.TempDir(), "config")
+	arguments, text := []string{"serve", "-c", path}, serveConfig(p.address, servers)
+	if edge {
+		arguments, text = []string{"edge"}, edgeConfig(p.address, discovery)
+	}
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0], arguments...)
+	p.cmd.Env = append(os.Environ(), childVariable+"=1", "NODE_CONFIG="+path)
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // fails where the process has exited, as it should
+		<-p.exited
+	})
+	p.waitUntilReady()
+	return p
+}
+
+// waitUntilReady waits for an answer of status 200.
+func (p *nodeProcess) waitUntilReady() {
+	p.t.Helper()
+	probe := "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+	if !p.edge {
+		probe = requestText(false, classSafe, "ready", longestDeadline)
+	}
+	for range 500 {
+		if nc, err := net.Dial("tcp", p.address); err == nil {
+			c := newClientConn(nc)
+			_, err := io.WriteString(nc, probe)
+			answer, readErr := c.read(time.Now().Add(time.Second))
+			_ = nc.Close()
+			if err == nil && readErr == nil && answer.status == http.StatusOK {
+				return
+			}
+		}
+		select {
+		case <-p.exited:
+			p.t.Fatalf("the node ended with %v: %s", p.err, &p.log)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	p.t.Fatal("the node did not become ready")
+}
+
+// signal sends a signal, which fails once the process has exited.
+func (p *nodeProcess) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// hasExited reports whether the process has ended.
+func (p *nodeProcess) hasExited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+func serveConfig(address string, servers *serverFleet) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `
+node { number = 0 }
+listener "http" "clients" { address = %q }
+class "lookup" {
+  effect = "safe"
+  aim = "800ms"
+  deadline = "3s"
+  route {
+    method = "GET"
+    path = "/records/{id}"
+  }
+}
+class "loan-change" {
+  effect = "keyed"
+  window = "2s"
+  aim = "600ms"
+  deadline = "3s"
+  route {
+    method = "POST"
+    path = "/loans/{id}"
+  }
+}
+class "order" {
+  effect = "unsafe"
+  aim = "600ms"
+  deadline = "3s"
+  route {
+    method = "POST"
+    path = "/orders/{id}"
+  }
+}
+plan "basic" {
+  rate = 100000
+  burst = 100000
+}
+customer "c" {
+  plan = "basic"
+  keys = ["k"]
+}
+limits { connections = 300 }
+log { level = "warn" }
+servers {
+`, address)
+	for i, s := range servers.servers {
+		fmt.Fprintf(&b, "  server \"s-%d\" { address = %q }\n", i, s.address)
+	}
+	return b.String() + "}\n"
+}
+
+func edgeConfig(address, discovery string) string {
+	class := func(name, semantics string) string {
+		return fmt.Sprintf(`{"name":%q,"semantics":%q,"group":"all","aim_ms":800,"hard_limit_ms":3000,"window_ms":2000,"stream":false}`, name, semantics)
+	}
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+ "limits":{"cores":1,"memory_mb":64,"sockets":256},"peer_listen":"","peers":[],"peers_all":"",
+ "known":{"index":1,"snapshot":true,"endpoints":[]},
+ "settings":{"me":0,"balancers":1,"zone":"a","zones":["a"],"tick_ms":2,
+ "caps":{"cancel":true,"peers":false,"retry_after":true,"max_retry_after_ms":500,"max_attempts":6,"conn_idle_ms":10000,"dial_timeout_ms":250},
+ "family_info":{"largest":4,"mail_per_s":60},"discovery":"push","report":{"via":"probe","names":["active","waiting"]},
+ "rules":{"answer_slack_ms":8,"fall_multiple":3,"fall_ms":1000,"cold_share":0.3,"warm_within_ms":8000},
+ "classes":[%s,%s,%s],
+ "plans":[{"name":"basic","rate":100000,"store_size":100000,"parallel":0}]}}`,
+		address, discovery, class(classSafe, "repeatable"), class(classKeyed, "by_key"), class(classUnsafe, "once"))
+}
+
+// requestText is a request as bytes, for either program.
+func requestText(edge bool, class, id string, timeout time.Duration) string {
+	method, target, body, fields := "GET", "/records/", "", ""
+	if class != classSafe {
+		method, body = "POST", "body"
+		target = map[string]string{classKeyed: "/loans/", classUnsafe: "/orders/"}[class]
+		fields = "Content-Length: 4\r\n"
+	}
+	if class == classKeyed {
+		fields += "Idempotency-Key: key-" + id + "\r\n"
+	}
+	ms := timeout.Milliseconds()
+	if edge {
+		fields += fmt.Sprintf("X-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Plan: basic\r\nCookie: key=00000000b4d65521\r\n"+
+			"X-Time-Left-Ms: %d\r\nX-Quota: units=1,spread=1,first=0\r\n", id, class, ms)
+	} else {
+		fields += fmt.Sprintf("X-Request-Id: %s\r\nX-Api-Key: k\r\nX-Envoy-Expected-Rq-Timeout-Ms: %d\r\n", id, ms)
+	}
+	return method + " " + target + id + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body
+}
+
+// received is a request that a server has received.
+type received struct {
+	class string
+	at    []time.Time // of each receipt
+}
+
+// serverFleet is the servers behind the node, and what they have received.
+type serverFleet struct {
+	servers []*fakeServer
+	index   atomic.Int64 // of the endpoint list
+
+	mu       sync.Mutex
+	requests map[string]*received // by id
+}
+
+// fakeServer is one of them.
+type fakeServer struct {
+	fleet     *serverFleet
+	address   string
+	latency   time.Duration
+	padding   int         // bytes by which its answers are longer
+	hangs     atomic.Bool // it answers nothing any more
+	isDrained atomic.Bool // its endpoint drains
+}
+
+func newServerFleet(t *testing.T, count int) *serverFleet {
+	t.Helper()
+	f := &serverFleet{requests: map[string]*received{}}
+	for range count {
+		s := &fakeServer{fleet: f}
+		s.address = serveHTTP(t, s)
+		f.servers = append(f.servers, s)
+	}
+	return f
+}
+
+// serveHTTP serves a handler on loopback until the test ends.
+func serveHTTP(t *testing.T, handler http.Handler) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = server.Close() // connections of a killed node may be broken
+		<-served
+	})
+	return l.Addr().String()
+}
+
+// ServeHTTP records a request and answers it.
+func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Correlation-Id") + r.Header.Get("X-Request-Id")
+	s.fleet.record(id, r)
+	if s.hangs.Load() {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(s.latency)
+	_, _ = io.WriteString(w, "for "+id+strings.Repeat(".", s.padding)) // the node may have gone
+}
+
+func (f *serverFleet) record(id string, r *http.Request) {
+	class := classSafe
+	switch {
+	case r.Header.Get("Idempotency-Key") != "":
+		class = classKeyed
+	case r.Method == "POST":
+		class = classUnsafe
+	}
+	at := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.requests[id] == nil {
+		f.requests[id] = &received{class: class}
+	}
+	f.requests[id].at = append(f.requests[id].at, at)
+}
+
+// endpointList is what discovery tells now.
+func (f *serverFleet) endpointList() string {
+	type endpoint struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+		Zone    string `json:"zone"`
+		Group   int    `json:"group"`
+		Status  string `json:"status"`
+		Weight  int    `json:"weight"`
+		SinceMS int    `json:"since_ms"`
+	}
+	list := struct {
+		Index     int64      `json:"index"`
+		Snapshot  bool       `json:"snapshot"`
+		Endpoints []endpoint `json:"endpoints"`
+	}{Index: 7 + f.index.Load(), Snapshot: true}
+	for i, s := range f.servers {
+		status := "ready"
+		if s.isDrained.Load() {
+			status = "draining"
+		}
+		list.Endpoints = append(list.Endpoints, endpoint{Name: fmt.Sprint("s-", i), Address: s.address, Zone: "a", Group: 1, Status: status, Weight: 1})
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		panic(err) // the types above can be marshalled
+	}
+	return string(text)
+}
+
+// drain has discovery tell that a server drains.
+func (f *serverFleet) drain(s *fakeServer) {
+	s.isDrained.Store(true)
+	f.index.Add(1)
+}
+
+// pollTime is how long discovery holds a call that waits for changes.
+const pollTime = 200 * time.Millisecond
+
+// ServeHTTP answers as discovery does.
+func (f *serverFleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.RequestURI, "after=") {
+		time.Sleep(pollTime)
+	}
+	_, _ = io.WriteString(w, f.endpointList()) // the node may have gone
+}
+
+// freeAddress is an address on loopback at which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := l.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	return l.Addr().String()
+}
