Node: after a panic of the policy each request is released once

What callers saw: one final response each, but the result of an attempt from before the panic was still taken, and OnRequestDone called twice. On the edge node that freed an ID that may have been given to a newer request. Cause: failAll answered and released requests, but left their attempts active, so that a result on its way counted as current. Evidence: TestPanicEndsEachRequestOnce, new, has a request in flight, one at a proxy, one queued and one being authorized, and every result comes after the panic. Before, the one in flight was released twice; now each has one final response and one release. Change: failAll ends the active attempt.

--- a/node/policy.go
+++ b/node/policy.go
@@ -101,12 +101,14 @@
 	}
 }
 
-// failAll fails and releases every request, and ends all work in flight.
+// failAll fails and releases every request, and ends all work in flight: a result that is on its
+// way comes too late.
 func (n *Node) failAll(detail string) {
 	for _, r := range n.requests {
 		n.abandonCheck(r)
 		n.respond(r, FinalResponse{Kind: Failed, Reason: ReasonInternal, Detail: detail})
 		r.work.stop()
+		r.endAttempt(Result{Code: policy.Cancelled, Detail: detail})
 		n.release(r)
 	}
 }
