Node: timers of a policy that panicked do not fire into the new one

What callers saw: after each panic of the policy the old one's tick timer ran on beside the new one's, and each fired into the new policy: ticks and load reports came twice as often. Cause: SetTimer put its event into whatever policy there is when the timer fires. Evidence: TestPanicEndsTheTimersOfThePolicy, new: before, two timers fired at a time after three panics; now one does. Change: a timer remembers the policy that set it, and fires into no other.

--- a/node/policy.go
+++ b/node/policy.go
@@ -144,7 +144,7 @@
 			n.releaseIfDone(r)
 		}
 	case policy.SetTimer:
-		n.timerWheel.Add(n.now+action.After, func() { n.queuePolicyEvent(policy.TimerFired{Token: action.Token}) })
+		n.setPolicyTimer(action)
 	case policy.SendPeerMessage:
 		n.sendPeerMessage(action)
 	case policy.Log:
@@ -152,6 +152,17 @@
 	}
 }
 
+// setPolicyTimer sets a timer of the policy. It does not fire into another policy, which has set
+// timers of its own.
+func (n *Node) setPolicyTimer(action policy.SetTimer) {
+	owner := n.policy
+	n.timerWheel.Add(n.now+action.After, func() {
+		if n.policy == owner {
+			n.queuePolicyEvent(policy.TimerFired{Token: action.Token})
+		}
+	})
+}
+
 // sendPeerMessage sends a message to one gateway, or to all others where To is below 0.
 func (n *Node) sendPeerMessage(action policy.SendPeerMessage) {
 	if action.To >= 0 || n.options.SendToAllPeers {
--- a/node/policy_panic_test.go
+++ b/node/policy_panic_test.go
@@ -119,3 +119,21 @@
 		t.Errorf("%d requests are left", len(b.requests))
 	}
 }
+
+// The timers of a policy that panicked do not fire into the new one: each has one timer for its ticks.
+func TestPanicEndsTheTimersOfThePolicy(t *testing.T) {
+	b := newPanicBed(t)
+	for range 3 {
+		b.panicInPolicy()
+	}
+	ticks := 0
+	for range 100 {
+		b.now += 100 * time.Millisecond
+		b.timerWheel.Advance(b.now)
+		ticks = max(ticks, len(b.policyEvents))
+		b.runPolicy()
+	}
+	if ticks != 1 {
+		t.Errorf("%d timers fire at a time", ticks)
+	}
+}
