Storage: a file that cannot be opened now is not moved aside as damaged

What callers saw: a node that started while descriptors, permission or space were missing moved its good usage file aside and began without it: usage that the counter did not have yet was granted a second time. Hard ceilings were not touched: their shares need no stored state. Cause: Open moved aside on every error but a held lock, and every error of bbolt.Open was damage. Evidence: TestDatabaseThatCannotBeOpenedStays, new, for EMFILE, ENFILE, EACCES, EIO and ENOSPC: before, the file is moved aside and nothing is read; now it stays and is read later. Change: only damage, a foreign file, another format or another node move a file aside. Errors of the operating system are returned, and the node does not start.

--- a/storage/open.go
+++ b/storage/open.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -31,20 +33,44 @@
 // Open opens the database of the node with an index and reads its entries. A missing file is
 // created. A file that is damaged, or of another program, format or node, is moved aside,
 // and a new one takes its place. The error is ErrInUse, or says why no database could be
-// opened or created.
+// opened or created; the file is as it was then.
 func Open(path string, node int) (*Store, Contents, error) {
-	store, entries, err := open(path, node)
-	if err == nil || errors.Is(err, ErrInUse) {
+	return openOrReplace(path, node, os.OpenFile)
+}
+
+// fileOpener opens a file as os.OpenFile does.
+type fileOpener func(path string, flags int, mode os.FileMode) (*os.File, error)
+
+func openOrReplace(path string, node int, openFile fileOpener) (*Store, Contents, error) {
+	store, entries, err := open(path, node, openFile)
+	if err == nil || !isUnusable(err) {
 		return store, Contents{Entries: entries}, err
 	}
 	moved, renameErr := moveAside(path, err)
 	if renameErr != nil {
 		return nil, Contents{}, errors.Join(err, renameErr)
 	}
-	store, entries, err = open(path, node)
+	store, entries, err = open(path, node, openFile)
 	return store, Contents{Entries: entries, MovedAside: moved}, err
 }
 
+// isUnusable reports whether an error says that the content of a file can't be used. Others come
+// from the operating system: the file may be good.
+func isUnusable(err error) bool {
+	var format *FormatError
+	var mismatch *NodeMismatchError
+	return errors.Is(err, ErrDamaged) || errors.Is(err, ErrForeign) || errors.As(err, &format) || errors.As(err, &mismatch)
+}
+
+// isSystemError reports whether an error comes from the operating system, such as for want of
+// descriptors, space or permission.
+func isSystemError(err error) bool {
+	var path *fs.PathError
+	var call *os.SyscallError
+	var number syscall.Errno
+	return errors.As(err, &path) || errors.As(err, &call) || errors.As(err, &number)
+}
+
 // moveAside renames a file that could not be used.
 func moveAside(path string, cause error) (*MovedAsideError, error) {
 	moved := &MovedAsideError{Path: path, MovedTo: fmt.Sprintf("%s.aside-%d", path, time.Now().UnixNano()), Cause: cause}
@@ -52,7 +78,7 @@
 }
 
 // open opens a database, which is closed again if it cannot be used.
-func open(path string, node int) (store *Store, entries []usage.CounterEntry, err error) {
+func open(path string, node int, openFile fileOpener) (store *Store, entries []usage.CounterEntry, err error) {
 	// The file is mapped into memory: access to a page beyond the end of a file that was cut
 	// short is a fault, which must become a panic to be recovered from.
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
@@ -67,7 +93,7 @@
 			store, entries = nil, nil
 		}
 	}()
-	db, err = openDatabase(path)
+	db, err = openDatabase(path, openFile)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -79,15 +105,17 @@
 }
 
 // openDatabase opens or creates a bbolt database.
-func openDatabase(path string) (*bbolt.DB, error) {
-	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout})
-	if errors.Is(err, bbolterrors.ErrTimeout) {
+func openDatabase(path string, openFile fileOpener) (*bbolt.DB, error) {
+	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, OpenFile: openFile})
+	switch {
+	case err == nil:
+		return db, nil
+	case errors.Is(err, bbolterrors.ErrTimeout):
 		return nil, ErrInUse
+	case isSystemError(err):
+		return nil, fmt.Errorf("storage: opening the database: %w", err)
 	}
-	if err != nil {
-		return nil, damaged(err)
-	}
-	return db, nil
+	return nil, damaged(err)
 }
 
 // closeDamaged closes a database that cannot be used, as far as its state allows.
@@ -101,7 +129,11 @@
 
 // load checks a database and reads its entries. An empty database is initialized.
 func load(tx *bbolt.Tx, path string, node int) ([]usage.CounterEntry, error) {
-	if info, err := os.Stat(path); err != nil || info.Size() < tx.Size() {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() < tx.Size() {
 		return nil, damaged(errors.New("file is cut short"))
 	}
 	meta := tx.Bucket(metaBucket)
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"go.etcd.io/bbolt"
@@ -199,3 +201,23 @@
 }
 
 func errOf(_ any, err error) error { return err }
+
+// A file that can't be opened now, for want of descriptors or permission, is not damaged: it stays
+// where it is, and is read when it can be opened again.
+func TestDatabaseThatCannotBeOpenedStays(t *testing.T) {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EACCES, syscall.EIO, syscall.ENOSPC} {
+		path := newDatabase(t)
+		fails := func(path string, _ int, _ os.FileMode) (*os.File, error) {
+			return nil, &fs.PathError{Op: "open", Path: path, Err: cause}
+		}
+		if _, contents, err := openOrReplace(path, testNode, fails); !errors.Is(err, cause) || contents.MovedAside != nil {
+			t.Errorf("%v: moved aside %v, error %v", cause, contents.MovedAside, err)
+		}
+		s, contents, err := Open(path, testNode)
+		if err != nil || len(contents.Entries) != testEntries {
+			t.Errorf("%v: %d entries are read afterwards, %v", cause, len(contents.Entries), err)
+			continue
+		}
+		closeOrFail(t, s)
+	}
+}
