Counter client: a refused write is not taken for confirmed beside a missing epoch

What callers saw: while a shard's epoch was missing and it refused writes (out of memory, say), usage counted as confirmed that the counter did not hold, until the total's next write: other nodes and a restarted one allowed that part of a rate quota again. Hard ceilings do not depend on the counter. Cause: Pipelined returns the first error, which is the missing key of GET; errors behind it were not looked at. Evidence: TestFailedWriteBesideAMissingEpochFailsTheCall, new. Change: each command's error is looked at; only missing keys are none.

--- a/usage/rediscounter/call.go
+++ b/usage/rediscounter/call.go
@@ -32,11 +32,11 @@
 func (c *Client) execute(ctx context.Context, call usage.CounterCall) (usage.CounterResponse, error) {
 	shard := c.shards[call.Shard]
 	var r results
-	_, err := shard.Pipelined(ctx, func(p redis.Pipeliner) error {
+	commands, err := shard.Pipelined(ctx, func(p redis.Pipeliner) error {
 		r = c.queueCommands(ctx, p, call)
 		return nil
 	})
-	if err != nil && !errors.Is(err, redis.Nil) {
+	if err := firstFailure(commands, err); err != nil {
 		return usage.CounterResponse{}, err
 	}
 	var epoch string
@@ -54,6 +54,20 @@
 	return response, err
 }
 
+// firstFailure returns the first error of a pipeline's commands, or err, that of the pipeline.
+// A missing key is no failure: it may come before one in the same pipeline.
+func firstFailure(commands []redis.Cmder, err error) error {
+	for _, command := range commands {
+		if err := command.Err(); err != nil && !errors.Is(err, redis.Nil) {
+			return err
+		}
+	}
+	if errors.Is(err, redis.Nil) {
+		return nil
+	}
+	return err
+}
+
 // queueCommands adds the commands of a call to a pipeline: reads first, so that the results
 // show what the shard held before.
 func (c *Client) queueCommands(ctx context.Context, p redis.Pipeliner, call usage.CounterCall) (r results) {
--- a/usage/rediscounter/golden_test.go
+++ b/usage/rediscounter/golden_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// A call whose write fails has failed, also where the epoch is missing: what it was to write is not
+// confirmed.
+func TestFailedWriteBesideAMissingEpochFailsTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key := usage.TotalKey{Customer: "bibl-a", Window: 177}
+		call := usage.CounterCall{Key: key, ReadEpoch: true,
+			Raise: []usage.CounterEntry{{Key: key, Writer: usage.WriterID{Node: 3, Incarnation: 35}, Units: 123456}}}
+		got := callOnce(t, call, [][]exchange{{
+			{"get yt:epoch", "$-1\r\n"},
+			{"hgetall yt:{bibl-a}:177", "*0\r\n"},
+			{"hset yt:{bibl-a}:177 3.z 123456", "-OOM command not allowed when used memory > 'maxmemory'.\r\n"},
+		}})
+		if !got.Failed {
+			t.Errorf("response %+v", got)
+		}
+		time.Sleep(time.Minute) // timers of what was closed run out
+	})
+}
+
 // callOnce makes a call to a shard that expects connections with certain exchanges.
 func callOnce(t *testing.T, call usage.CounterCall, connections [][]exchange) usage.CounterResponse {
 	t.Helper()
