Usage storage: a save goes on behind totals that have not changed

What callers saw: with more than 2,000 totals in the queue, a save ended at the first batch without changes and the rest waited for the next second; the last save of a node that stops ended there, too. What the counter did not have was forgotten then, and that part of a rate quota granted again. Cause: save returned when there was nothing unsaved, without a look at whether more batches follow. Evidence: TestSaveGoesOnBehindTotalsWithoutChanges, new, 4,000 totals without changes before one with: before, nothing was saved; now it is. Change: only the last batch ends a save, or a failed one.

--- a/gateway/usage_storage.go
+++ b/gateway/usage_storage.go
@@ -26,20 +26,25 @@
 			return
 		}
 		s.unsaved = append(s.unsaved, changes...)
-		if len(s.unsaved) == 0 {
-			return
-		}
-		if err := s.store.Save(s.unsaved); err != nil {
-			s.gateway.options.Log.Error("saving usage failed; retrying with the next save", "error", err)
-			return
-		}
-		s.unsaved = nil
-		if !more {
+		if !s.saveUnsaved() || !more {
 			return
 		}
 	}
 }
 
+// saveUnsaved saves the changes that were collected, if any, and reports whether none is left.
+func (s *usageStorage) saveUnsaved() bool {
+	if len(s.unsaved) == 0 {
+		return true
+	}
+	if err := s.store.Save(s.unsaved); err != nil {
+		s.gateway.options.Log.Error("saving usage failed; retrying with the next save", "error", err)
+		return false
+	}
+	s.unsaved = nil
+	return true
+}
+
 // collect takes changes from the tracker, in the loop. The error is the context's.
 func (s *usageStorage) collect(ctx context.Context) (changes []usage.CounterEntry, more bool, err error) {
 	type result struct {
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"yardcleat.example/yardcleat/config"
 	"yardcleat.example/yardcleat/standin/counter"
+	"yardcleat.example/yardcleat/storage"
+	"yardcleat.example/yardcleat/usage"
 )
 
 const counterBlock = `
@@ -178,3 +182,38 @@
 	})
 	return served
 }
+
+// A save goes on behind totals that have not changed, however many there are.
+func TestSaveGoesOnBehindTotalsWithoutChanges(t *testing.T) {
+	runInTestBed(t, counterBlock, func(w *testBed) {
+		path := filepath.Join(t.TempDir(), "tally")
+		store, _, err := storage.Open(path, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Now()
+		tracker := usage.New(usageSettings(w.node.cfg, 1, 1))
+		window := now.Unix() / int64(w.node.cfg.Counter.Window/time.Second)
+		var loaded []usage.CounterEntry
+		for i := range 2 * maxTotalsPerSave {
+			key := usage.TotalKey{Customer: fmt.Sprint("c", i), Window: window}
+			loaded = append(loaded, usage.CounterEntry{Key: key, Writer: usage.WriterID{Node: 0, Incarnation: 1}, Units: 1000})
+		}
+		tracker.LoadStored(now, loaded)
+		tracker.RecordForwarded(now, "school", "basic", nil, 3)
+		s := &usageStorage{gateway: w.node, tracker: tracker, store: store}
+		s.save(context.Background())
+		s.close()
+		store, contents, err := storage.Open(path, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := store.Close(); err != nil {
+			t.Error(err)
+		}
+		if len(contents.Entries) != 1 || contents.Entries[0].Key.Customer != "school" || contents.Entries[0].Units != 3000 {
+			t.Errorf("saved %v", contents.Entries)
+		}
+		w.node.Kill()
+	})
+}
