Membership: a late announcement does not take back that a node has stopped

What callers saw: where a leaving node's last announcements arrived out of order, a change of the fleet waited for that node for good, with the smaller shares of ceilings in force, until an operator vouched for it: less was admitted than the ceilings allow, never more. Cause: recordAnnouncement kept the phase that came last, while epoch and stage never go back. Evidence: TestLateAnnouncementDoesNotTakeBackStopped, new: before, the change stayed incomplete. Change: the phase of a process only advances. A later process of the same number begins anew, which the transport knows by its incarnation (Options.Restarted); the message's bytes are as before. A restarted node is waited for, as the second case of the test shows.

--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -50,6 +50,8 @@
 	transport  *peer.Mail
 	commands   chan membershipEvent
 	rosterFile []byte // content as last read
+
+	restartedPeers map[int]bool // of which no announcement was taken since; of the transport's goroutine
 }
 
 // newMembershipLoop returns the loop of a fleet with a roster. A snapshot that cannot be read
@@ -63,6 +65,8 @@
 		gateway:  g,
 		machine:  membership.NewStateMachine(membership.Settings{Name: g.cfg.Name, Snapshot: snapshot}),
 		commands: make(chan membershipEvent, membershipQueueSize),
+
+		restartedPeers: map[int]bool{},
 	}
 }
 
@@ -85,11 +89,14 @@
 	}
 }
 
-// submit queues an event. It does not block: the event is dropped where the queue is full.
-func (l *membershipLoop) submit(event membershipEvent) {
+// submit queues an event. It does not block: the event is dropped where the queue is full, and
+// submit returns false.
+func (l *membershipLoop) submit(event membershipEvent) bool {
 	select {
 	case l.commands <- event:
+		return true
 	default:
+		return false
 	}
 }
 
@@ -115,11 +122,29 @@
 		return false
 	}
 	if a, ok := decodeAnnouncement(message); ok {
-		l.submit(func() []membership.Action { return l.machine.HandleAnnouncement(time.Now(), from, a) })
+		l.submitAnnouncement(from, a)
 	}
 	return true
 }
 
+// peerRestarted notes that the next messages under a number are of another process.
+func (l *membershipLoop) peerRestarted(from int) { l.restartedPeers[from] = true }
+
+// submitAnnouncement queues an announcement, behind the restart of its process if it is the first
+// one of it.
+func (l *membershipLoop) submitAnnouncement(from int, a membership.Announcement) {
+	restarted := l.restartedPeers[from]
+	queued := l.submit(func() []membership.Action {
+		if restarted {
+			l.machine.HandlePeerRestart(from)
+		}
+		return l.machine.HandleAnnouncement(time.Now(), from, a)
+	})
+	if queued {
+		delete(l.restartedPeers, from)
+	}
+}
+
 // reloadRoster reads the roster file and handles it if its content has changed. While the
 // file is absent or being replaced, the accepted roster stays in force.
 func (l *membershipLoop) reloadRoster(ctx context.Context) {
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -190,6 +190,7 @@
 		Log:         g.options.Log,
 		Wall:        g.options.WallClock,
 		Deliver:     g.receivePeerMessage,
+		Restarted:   g.peerRestarted,
 	})
 	if err != nil {
 		return err
@@ -202,6 +203,13 @@
 	return nil
 }
 
+// peerRestarted notes that another process acts under a peer's number.
+func (g *Gateway) peerRestarted(from int) {
+	if g.membership != nil {
+		g.membership.peerRestarted(from)
+	}
+}
+
 // receivePeerMessage hands a message to the part that it is for. Messages that come before the
 // node runs are dropped, as the network may do with any.
 func (g *Gateway) receivePeerMessage(from int, data []byte) {
--- a/membership/announcement.go
+++ b/membership/announcement.go
@@ -30,8 +30,18 @@
 	return a.Epoch < b.Epoch || a.Epoch == b.Epoch && a.Stage < b.Stage
 }
 
+// HandlePeerRestart notes that another process acts under a number than before: its phases
+// begin anew. It must come before the first announcement of that process; those of the process before
+// must not come any more.
+func (m *StateMachine) HandlePeerRestart(from int) {
+	peer := m.peers[from]
+	peer.Phase = Starting
+	m.peers[from] = peer
+}
+
 // HandleAnnouncement handles a peer's announcement. Announcements may be lost, repeated,
-// late or out of order: neither a peer's epoch nor its stage ever goes back.
+// late or out of order: neither a peer's epoch nor its stage ever goes back, nor does the phase
+// of one process.
 func (m *StateMachine) HandleAnnouncement(now time.Time, from int, a Announcement) []Action {
 	m.actions = nil
 	previous := m.peers[from]
@@ -48,14 +58,14 @@
 	return m.actions
 }
 
-// recordAnnouncement keeps the latest epoch and stage that a peer has announced, and the
-// phase that came last.
+// recordAnnouncement keeps the latest epoch, stage and phase that a peer has announced.
 func (m *StateMachine) recordAnnouncement(from int, a Announcement) {
 	previous := m.peers[from]
 	if a.isBehind(previous) {
 		a.Epoch = previous.Epoch
 		a.Stage = previous.Stage
 	}
+	a.Phase = max(a.Phase, previous.Phase)
 	m.peers[from] = a
 }
 
--- a/membership/epoch_change_test.go
+++ b/membership/epoch_change_test.go
@@ -208,3 +208,32 @@
 		t.Errorf("peer 1 counts as %+v, want %+v", got, want)
 	}
 }
+
+// A late announcement does not take back that a leaving node has stopped, so a change goes on without it. A
+// later process of that node is waited for again.
+func TestLateAnnouncementDoesNotTakeBackStopped(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		isRestarted  bool
+		wantComplete bool
+	}{{"late", false, true}, {"restarted", true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			m := NewStateMachine(Settings{Name: "a"})
+			m.HandleRoster(testStart, Roster{Epoch: 1, Nodes: testNodes("a", "b", "c")})
+			r, err := m.accepted.Next(testNodes("a", "b"), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.HandleRoster(testStart, r)
+			m.HandleAnnouncement(testStart, 2, Announcement{Epoch: 1, Stage: StageComplete, Phase: Stopped})
+			if c.isRestarted {
+				m.HandlePeerRestart(2)
+			}
+			m.HandleAnnouncement(testStart, 2, Announcement{Epoch: 1, Stage: StageComplete, Phase: Draining})
+			m.HandleAnnouncement(testStart, 1, Announcement{Epoch: 2, Stage: StageComplete, Phase: Serving})
+			if m.ChangeComplete() != c.wantComplete {
+				t.Errorf("change complete: %v", m.ChangeComplete())
+			}
+		})
+	}
+}
--- a/peer/mail.go
+++ b/peer/mail.go
@@ -31,6 +31,10 @@
 	Log         *slog.Logger
 	Wall        func() time.Time // the wall clock; nil: the system's
 	Deliver     func(from int, data []byte)
+
+	// Restarted is called before Deliver with the first message of a process that acts under
+	// another gateway's number. It may be nil.
+	Restarted func(from int)
 }
 
 // Mail sends and takes messages.
@@ -128,8 +132,21 @@
 	}
 }
 
+// knownProcesses has the process that last acted under each number, by its incarnation.
+type knownProcesses map[uint16]uint64
+
+// isNew reports whether a message is the first that was accepted of its process.
+func (k knownProcesses) isNew(h Header) bool {
+	if k[h.From] == h.Incarnation {
+		return false
+	}
+	k[h.From] = h.Incarnation
+	return true
+}
+
 func (m *Mail) receive() {
 	g := NewGuard(m.o.Me, len(m.o.Addresses)+1, m.o.Incarnation, m.o.Freshness, m.o.Rate)
+	processes := knownProcesses{}
 	var told [wordsCount]time.Time
 	b := make([]byte, headerSize+MaxPayload+macSize+1)
 	for {
@@ -149,6 +166,9 @@
 			word = g.Judge(now, h)
 		}
 		if word == Accept {
+			if processes.isNew(h) && m.o.Restarted != nil {
+				m.o.Restarted(int(h.From))
+			}
 			m.o.Deliver(int(h.From), append([]byte(nil), payload...))
 			continue
 		}
