Membership: a node's own phase changes are not dropped behind announcements

What callers saw: under a flood of announcements a node's StartServing, StartDraining or Stop could be dropped. Nobody repeats them, so peers never learned that a leaving node had stopped: the change of the fleet waited, with the smaller shares of ceilings in force. Cause: own steps went through the queue of 256 that drops what does not fit. Evidence: TestPhaseChangeIsNotDroppedBehindAnnouncements, new: before, the node stayed ready (it never left that phase in this bed). Change: steps of the own phase have a queue of their own that drops nothing.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,7 +120,7 @@
 // one. It does not block.
 func (g *Gateway) changePhase(step func(*membership.StateMachine) []membership.Action) {
 	if g.membership != nil && !g.killed.Load() {
-		g.membership.submit(func() []membership.Action { return step(g.membership.machine) })
+		g.membership.submitPhaseStep(func() []membership.Action { return step(g.membership.machine) })
 	}
 }
 
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"yardcleat.example/yardcleat/config"
@@ -21,9 +22,8 @@
 	// ticks of the state machine.
 	membershipTickInterval = 250 * time.Millisecond
 
-	// membershipQueueSize is the number of events that wait for the loop. Further ones are
-	// dropped. Peers repeat their announcements, and EndpointsReady comes again with the next
-	// endpoint list; a dropped StartServing, StartDraining or Stop is not repeated.
+	// membershipQueueSize is the number of announcements that wait for the loop. Further ones are
+	// dropped: peers repeat them.
 	membershipQueueSize = 256
 
 	// resizeTimeout bounds the wait for the node's event loop, which takes no more work
@@ -43,7 +43,7 @@
 // membershipLoop is the goroutine that owns the membership state machine. It feeds roster
 // files and peers' announcements to the state machine and carries out its actions one by one,
 // in order: a snapshot is durable before the policy or a peer learns of what follows from it.
-// Other goroutines call only submit, receivePeerMessage and stop.
+// Other goroutines call only submit, submitPhaseStep, receivePeerMessage and stop.
 type membershipLoop struct {
 	gateway    *Gateway
 	machine    *membership.StateMachine // of the loop's goroutine
@@ -51,6 +51,10 @@
 	commands   chan membershipEvent
 	rosterFile []byte // content as last read
 
+	phaseSteps  chan struct{} // signaled when there are steps in queuedSteps
+	mu          sync.Mutex    // guards queuedSteps
+	queuedSteps []membershipEvent
+
 	restartedPeers map[int]bool // of which no announcement was taken since; of the transport's goroutine
 }
 
@@ -66,6 +70,7 @@
 		machine:  membership.NewStateMachine(membership.Settings{Name: g.cfg.Name, Snapshot: snapshot}),
 		commands: make(chan membershipEvent, membershipQueueSize),
 
+		phaseSteps:     make(chan struct{}, 1),
 		restartedPeers: map[int]bool{},
 	}
 }
@@ -78,6 +83,10 @@
 	defer tick.Stop()
 	for {
 		select {
+		case <-l.phaseSteps:
+			for _, step := range l.takePhaseSteps() {
+				l.execute(ctx, step())
+			}
 		case event := <-l.commands:
 			l.execute(ctx, event())
 		case <-tick.C:
@@ -100,11 +109,31 @@
 	}
 }
 
+// submitPhaseStep queues a step to this node's next phase. It does not block, and drops none: nobody
+// repeats it.
+func (l *membershipLoop) submitPhaseStep(step membershipEvent) {
+	l.mu.Lock()
+	l.queuedSteps = append(l.queuedSteps, step)
+	l.mu.Unlock()
+	select {
+	case l.phaseSteps <- struct{}{}:
+	default: // the loop is to look already
+	}
+}
+
+func (l *membershipLoop) takePhaseSteps() []membershipEvent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	steps := l.queuedSteps
+	l.queuedSteps = nil
+	return steps
+}
+
 // stop announces that this node has stopped. It returns when the announcement has had time to
 // leave, or after stopTimeout; the loop itself ends with its context.
 func (l *membershipLoop) stop() {
 	handled := make(chan struct{})
-	l.submit(func() []membership.Action {
+	l.submitPhaseStep(func() []membership.Action {
 		defer close(handled)
 		return l.machine.Stop()
 	})
--- /dev/null
+++ b/gateway/membership_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"bytes"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/membership"
+)
+
+// withRosterGateway runs a test with a gateway of a fleet with a roster, whose peers do not exist.
+func withRosterGateway(t *testing.T, test func(g *Gateway, log *bytes.Buffer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		g, err := Start(parseStateConfig(t, copyStateOfAnEarlierBuild(t)), Options{
+			Network: network.NewMemory(time.Millisecond, 1).Host("node"),
+			Seed:    1,
+			Log:     slog.New(slog.NewTextHandler(&log, nil)),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		test(g, &log)
+		g.Kill()
+		time.Sleep(time.Minute) // timers of what was closed run out
+	})
+}
+
+// A node's own change of phase is not lost behind peers' announcements, which fill the loop's queue.
+func TestPhaseChangeIsNotDroppedBehindAnnouncements(t *testing.T) {
+	withRosterGateway(t, func(g *Gateway, _ *bytes.Buffer) {
+		busy := make(chan struct{})
+		g.membership.submit(func() []membership.Action {
+			<-busy
+			return nil
+		})
+		time.Sleep(time.Millisecond)
+		for range 2 * membershipQueueSize {
+			g.membership.submitAnnouncement(1, membership.Announcement{Phase: membership.Serving})
+		}
+		g.changePhase((*membership.StateMachine).StartDraining)
+		close(busy)
+		time.Sleep(time.Second)
+		phase := make(chan membership.Phase, 1)
+		g.membership.submit(func() []membership.Action {
+			phase <- g.membership.machine.Phase()
+			return nil
+		})
+		if got := <-phase; got != membership.Draining {
+			t.Errorf("the node is %v", got)
+		}
+	})
+}
