Membership: a step is carried out whole, also behind a slow resize

What callers saw: when a node's loop did not take a resize within 5 s (a stopped process, a starved machine), the remaining actions of that step were dropped: addresses, announcements, phases. Cause: resizeFleet took 5 s without an answer for the end of the node. Evidence: TestMembershipStepWaitsForASlowResize, new, 8 s in virtual time: before, the action behind the resize was not carried out. Change: the wait ends with the node's context alone.

--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -26,10 +26,6 @@
 	// dropped: peers repeat them.
 	membershipQueueSize = 256
 
-	// resizeTimeout bounds the wait for the node's event loop, which takes no more work
-	// once the node ends.
-	resizeTimeout = 5 * time.Second
-
 	// stopTimeout bounds the wait for the last announcement when the node ends, and
 	// announcementFlushTime is left to the transport's goroutine to send it.
 	stopTimeout           = time.Second
@@ -198,7 +194,7 @@
 		case membership.SaveSnapshot:
 			l.saveSnapshot(a.Snapshot)
 		case membership.FleetResized:
-			if !l.resizeFleet(a) {
+			if !l.resizeFleet(ctx, a) {
 				return
 			}
 		case membership.AddressAssigned:
@@ -225,9 +221,9 @@
 }
 
 // resizeFleet sets the fleet's size in the policy and the usage recorder, and waits until the
-// node's event loop has done so: peers are notified only afterwards. It reports false when the
-// event loop does not answer, which is when the node ends.
-func (l *membershipLoop) resizeFleet(a membership.FleetResized) bool {
+// node's event loop has done so, however long that takes: peers are notified only afterwards. It
+// reports false when the node ends before.
+func (l *membershipLoop) resizeFleet(ctx context.Context, a membership.FleetResized) bool {
 	g := l.gateway
 	resized := make(chan struct{})
 	g.node.Do(func() {
@@ -240,7 +236,7 @@
 	select {
 	case <-resized:
 		return true
-	case <-time.After(resizeTimeout):
+	case <-ctx.Done():
 		return false
 	}
 }
--- a/gateway/membership_test.go
+++ b/gateway/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +57,20 @@
 		}
 	})
 }
+
+// A step of membership is carried out whole, also where the node's loop takes long to apply a resize.
+func TestMembershipStepWaitsForASlowResize(t *testing.T) {
+	withRosterGateway(t, func(g *Gateway, log *bytes.Buffer) {
+		busy := make(chan struct{})
+		g.node.Do(func() { <-busy })
+		g.membership.submit(func() []membership.Action {
+			return []membership.Action{membership.FleetResized{Gateways: 3}, membership.OperatorNote{Message: "after the resize"}}
+		})
+		time.Sleep(8 * time.Second)
+		close(busy)
+		time.Sleep(time.Second)
+		if !strings.Contains(log.String(), "after the resize") {
+			t.Error("the rest of the step was dropped")
+		}
+	})
+}
