Node, policy: an attempt withdrawn from a draining server is not its failure

What callers saw: attempts still in a dial when their server began to drain counted as failures to connect, for all classes and at the server's monitors: a server that came back was avoided. Cause: withdrawUnsentAttempts ended them as ConnectFailed, for want of another code that permits a retry. Evidence: TestAttemptAtADrainingServerIsWithdrawn (before, result 4, ConnectFailed) and TestWithdrawnAttemptIsNoFailureOfItsServer, both new. Change: ResultCode Withdrawn: it never ran, its retry is free and may go to another server, and neither this gateway nor the monitor learns from it. It is in no message between gateways.

--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -55,16 +55,14 @@
 
 // withdrawUnsentAttempts ends the attempts at servers that accept no more work, as far
 // as their requests have not been written yet: a slow dial may succeed long after its
-// server began to drain. A withdrawn attempt ends as ConnectFailed, which permits a retry
-// but is not exact: the server was not at fault, and yet the policy counts a failure of
-// the server for all classes.
+// server began to drain.
 func (n *Node) withdrawUnsentAttempts() {
 	for _, r := range n.requests {
 		if !r.attempts.active || n.acceptsWork(r.attempts.server) {
 			continue
 		}
 		if r.work.tryWithdraw() {
-			n.finishAttempt(r, Result{Code: policy.ConnectFailed, Detail: "server left before the request was sent"})
+			n.finishAttempt(r, Result{Code: policy.Withdrawn, Detail: "server left before the request was sent"})
 		}
 	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -124,3 +124,35 @@
 		t.Errorf("after Drain: %+v", rejected)
 	}
 }
+
+// withdrawableUpstream is an upstream whose attempts are never written.
+type withdrawableUpstream struct{}
+
+func (withdrawableUpstream) Start(Attempt, func(Result)) OutgoingAttempt {
+	return withdrawableUpstream{}
+}
+
+func (withdrawableUpstream) Cancel() {}
+
+func (withdrawableUpstream) Withdraw() bool { return true }
+
+// An attempt at a server that begins to drain is withdrawn, which the policy does not take for the server's failure.
+func TestAttemptAtADrainingServerIsWithdrawn(t *testing.T) {
+	n := newNode(t, nil)
+	n.options.Upstream = withdrawableUpstream{}
+	server := Endpoint{Address: "a", Server: policy.Server{ID: 1, Weight: 1}}
+	n.UpdateEndpoints(policy.SnapshotUpdate, []Endpoint{server})
+	n.Submit(newRequest(), func(FinalResponse) {})
+	n.handleEvents(n.takeQueue(nil))
+	server.State = policy.Draining
+	n.applyEndpointUpdate(endpointsUpdated{kind: policy.DeltaUpdate, endpoints: []Endpoint{server}})
+	var codes []policy.ResultCode
+	for _, event := range n.policyEvents {
+		if result, ok := event.(policy.AttemptResult); ok {
+			codes = append(codes, result.Code)
+		}
+	}
+	if !slices.Equal(codes, []policy.ResultCode{policy.Withdrawn}) {
+		t.Errorf("results %v", codes)
+	}
+}
--- a/node/reasons.go
+++ b/node/reasons.go
@@ -95,6 +95,8 @@
 		return ReasonServerRejected
 	case policy.TooLate:
 		return ReasonNoTime
+	case policy.Withdrawn:
+		return ReasonNoServer
 	}
 	return ReasonNone
 }
--- a/policy/events.go
+++ b/policy/events.go
@@ -65,10 +65,28 @@
 	Reset                    // the connection broke
 	Cancelled                // ended by CancelAttempt
 	TooLate                  // not sent: no time was left, or no connection was available
+	Withdrawn                // not sent: its server left first, which is no failure of that server
 )
 
 // NeverRan reports whether the code proves that the attempt never ran.
-func (c ResultCode) NeverRan() bool { return c == Rejected || c == ConnectFailed || c == TooLate }
+func (c ResultCode) NeverRan() bool {
+	switch c {
+	case Rejected, ConnectFailed, TooLate, Withdrawn:
+		return true
+	default:
+		return false
+	}
+}
+
+// showsServer reports whether the code says something of the server that the attempt went to.
+func (c ResultCode) showsServer() bool {
+	switch c {
+	case TooLate, Cancelled, Withdrawn:
+		return false
+	default:
+		return true
+	}
+}
 
 // ClientDisconnected reports that the client has disconnected. The request gets no final response any more.
 type ClientDisconnected struct{ ID RequestID }
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -21,6 +21,7 @@
 		{"once", Error, failed}, {"once", TimedOut, failed}, {"once", Rejected, again},
 		{"once", ConnectFailed, again}, {"once", Reset, failed}, {"once", TooLate, rejected},
 		{"cell", Error, again}, {"cell", Rejected, again}, {"all", Reset, again},
+		{"safe", Withdrawn, again}, {"once", Withdrawn, again},
 	} {
 		t.Run(fmt.Sprint(c.class, c.code), func(t *testing.T) {
 			w := newHarness(t, baseSettings(), testServers(4))
@@ -63,3 +64,20 @@
 		t.Fatalf("a keyed request past its window was not failed: %v", acts)
 	}
 }
+
+// An attempt that was withdrawn since its server drains says nothing of the server: no class counts a failure, and
+// the retry is free.
+func TestWithdrawnAttemptIsNoFailureOfItsServer(t *testing.T) {
+	w := newHarness(t, baseSettings(), testServers(4))
+	w.g.retryBudget = 0
+	s := w.startAttempt("once", "free")
+	budget := w.g.retryBudget
+	if acts := w.finishAttempt(s, 0, Withdrawn); len(actionsOf[StartAttempt](acts)) != 1 || w.g.retryBudget != budget {
+		t.Errorf("%v, budget %v after %v", acts, w.g.retryBudget, budget)
+	}
+	for i, h := range w.g.endpoints.byID[s.Server].health {
+		if h.failureRate != 0 {
+			t.Errorf("failure rate %v for class %d", h.failureRate, i)
+		}
+	}
+}
