Upstream: an attempt without a spare connection is overload, not no-time

What callers saw: at an edge node whose connections to servers were all in use, requests ended with the reason no-time, as if the client's timeout had been too short. Cause: the attempt ended as TooLate, which stood for both. Evidence: TestAttemptWithoutASpareConnection, new: before, the attempt ended with code 7, TooLate. Change: ResultCode NoConnection, which the policy handles as TooLate; the reason is overload.

--- a/node/reasons.go
+++ b/node/reasons.go
@@ -21,7 +21,7 @@
 	ReasonCeiling                  Reason = "ceiling"                   // the customer's hard ceiling is reached
 	ReasonLoadShed                 Reason = "shed"                      // shed by admission control; also the reasons that this build does not know
 	ReasonNoServer                 Reason = "no-server"                 // no server could take it in time
-	ReasonNoTime                   Reason = "no-time"                   // too little time was left, or all connections to servers were in use
+	ReasonNoTime                   Reason = "no-time"                   // too little time was left
 	ReasonQuotaUnknown             Reason = "quota-unknown"             // no leader of the quota responded, and the request was not admitted without one
 	ReasonServerGone               Reason = "server-gone"               // the last attempt's connection failed or was reset
 	ReasonServerError              Reason = "server-error"              // the last attempt ended with an error
@@ -30,7 +30,7 @@
 	ReasonAuthorizationDenied      Reason = "authorisation-denied"      // the authorization service denied it
 	ReasonAuthorizationTimeout     Reason = "authorisation-late"        // the authorization service was too slow
 	ReasonAuthorizationUnreachable Reason = "authorisation-unreachable" // the authorization service could not be reached
-	ReasonOverload                 Reason = "overload"                  // the node has too many unanswered requests
+	ReasonOverload                 Reason = "overload"                  // the node has too many unanswered requests, or all its connections to servers were in use
 	ReasonDraining                 Reason = "draining"                  // the node is shutting down
 	ReasonInternal                 Reason = "internal"                  // the policy panicked, or the node stopped before the request was answered
 	ReasonClientDisconnected       Reason = "client-gone"               // in logs only
@@ -97,6 +97,8 @@
 		return ReasonNoTime
 	case policy.Withdrawn:
 		return ReasonNoServer
+	case policy.NoConnection:
+		return ReasonOverload
 	}
 	return ReasonNone
 }
--- a/node/reasons_test.go
+++ b/node/reasons_test.go
@@ -31,6 +31,7 @@
 		{"exhausted, server error", policy.ReasonAttemptsExhausted, 1, policy.Error, ReasonServerError},
 		{"exhausted, rejected by the server", policy.ReasonAttemptsExhausted, 1, policy.Rejected, ReasonServerRejected},
 		{"exhausted, withdrawn", policy.ReasonAttemptsExhausted, 1, policy.Withdrawn, ReasonNoServer},
+		{"exhausted, no connection", policy.ReasonAttemptsExhausted, 1, policy.NoConnection, ReasonOverload},
 		{"exhausted, too late", policy.ReasonAttemptsExhausted, 1, policy.TooLate, ReasonNoTime},
 		{"unknown", policy.Reason(250), 0, policy.OK, ReasonLoadShed},
 	} {
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -97,11 +97,11 @@
 // continueRequest finishes, rejects, retries or queues a request whose attempt has ended.
 func (g *Gateway) continueRequest(r *request, ev AttemptResult) {
 	answered := r.done || ev.Answered || ev.Code == OK
-	tooLate := ev.Code == TooLate || g.now >= r.deadline
+	mayNotBeSent := ev.Code == TooLate || ev.Code == NoConnection || g.now >= r.deadline
 	switch {
 	case answered:
 		g.finish(r)
-	case tooLate || !g.takeRetry(r, ev.Code):
+	case mayNotBeSent || !g.takeRetry(r, ev.Code):
 		g.reject(r, ReasonAttemptsExhausted)
 	case !g.hasRoom(r.customer) || !g.startAttempt(r):
 		g.enqueue(r)
--- a/policy/events.go
+++ b/policy/events.go
@@ -64,14 +64,15 @@
 	ConnectFailed            // the server could not be reached
 	Reset                    // the connection broke
 	Cancelled                // ended by CancelAttempt
-	TooLate                  // not sent: no time was left, or no connection was available
+	TooLate                  // not sent: no time was left
 	Withdrawn                // not sent: its server left first, which is no failure of that server
+	NoConnection             // not sent: this gateway had no connection to spare
 )
 
 // NeverRan reports whether the code proves that the attempt never ran.
 func (c ResultCode) NeverRan() bool {
 	switch c {
-	case Rejected, ConnectFailed, TooLate, Withdrawn:
+	case Rejected, ConnectFailed, TooLate, Withdrawn, NoConnection:
 		return true
 	default:
 		return false
@@ -81,7 +82,7 @@
 // showsServer reports whether the code says something of the server that the attempt went to.
 func (c ResultCode) showsServer() bool {
 	switch c {
-	case TooLate, Cancelled, Withdrawn:
+	case TooLate, Cancelled, Withdrawn, NoConnection:
 		return false
 	default:
 		return true
--- a/policy/peer_messages_test.go
+++ b/policy/peer_messages_test.go
@@ -84,7 +84,7 @@
 		{"ReasonLoadShed", int(ReasonLoadShed), 4}, {"ReasonNoServer", int(ReasonNoServer), 5}, {"ReasonNoTime", int(ReasonNoTime), 6}, {"ReasonNoQuotaLeader", int(ReasonNoQuotaLeader), 7},
 		{"ReasonAttemptsExhausted", int(ReasonAttemptsExhausted), 8},
 		{"OK", int(OK), 0}, {"Error", int(Error), 1}, {"Rejected", int(Rejected), 2}, {"TimedOut", int(TimedOut), 3},
-		{"ConnectFailed", int(ConnectFailed), 4}, {"Reset", int(Reset), 5}, {"Cancelled", int(Cancelled), 6}, {"TooLate", int(TooLate), 7}, {"Withdrawn", int(Withdrawn), 8},
+		{"ConnectFailed", int(ConnectFailed), 4}, {"Reset", int(Reset), 5}, {"Cancelled", int(Cancelled), 6}, {"TooLate", int(TooLate), 7}, {"Withdrawn", int(Withdrawn), 8}, {"NoConnection", int(NoConnection), 9},
 		{"Running", int(Running), 0}, {"Draining", int(Draining), 1}, {"Removed", int(Removed), 2},
 	} {
 		if c.got != c.want {
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -21,7 +21,7 @@
 		{"once", Error, failed}, {"once", TimedOut, failed}, {"once", Rejected, again},
 		{"once", ConnectFailed, again}, {"once", Reset, failed}, {"once", TooLate, rejected},
 		{"cell", Error, again}, {"cell", Rejected, again}, {"all", Reset, again},
-		{"safe", Withdrawn, again}, {"once", Withdrawn, again},
+		{"safe", Withdrawn, again}, {"once", Withdrawn, again}, {"safe", NoConnection, rejected}, {"once", NoConnection, rejected},
 	} {
 		t.Run(fmt.Sprint(c.class, c.code), func(t *testing.T) {
 			w := newHarness(t, baseSettings(), testServers(4))
--- a/upstream/crossing_test.go
+++ b/upstream/crossing_test.go
@@ -245,3 +245,18 @@
 	}
 	p.Close()
 }
+
+// An attempt for which all connections of this node are in use ends as such: neither its time nor its server is to
+// blame.
+func TestAttemptWithoutASpareConnection(t *testing.T) {
+	s := listen(t)
+	p := New(Options{Network: network.OS{}, ConnectTime: 10 * time.Second, Idle: 4, Most: 1, Limits: testLimits})
+	sending, _ := start(p, s, "/first", 10*time.Second)
+	s.accept()
+	_, ended := start(p, s, "/second", 10*time.Second)
+	if r := <-ended; r.Code != policy.NoConnection {
+		t.Errorf("ended with %v, %s", r.Code, r.Detail)
+	}
+	sending.Cancel()
+	p.Close()
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -234,7 +234,7 @@
 
 // full is how an attempt ends for want of a connection of this node's own; it says
 // nothing of the server.
-var full = node.Result{Code: policy.TooLate, Detail: "no connection to spare"}
+var full = node.Result{Code: policy.NoConnection, Detail: "no connection to spare"}
 
 var errMost = errors.New("upstream: all connections are in use")
 
