Node: requests left by a drain that runs out of time fail as draining

Cause: failRemaining and restartPolicy shared one reason. Evidence: TestRequestLeftByADrainFailsAsDraining, new: before, the reason was internal.

--- a/node/loop.go
+++ b/node/loop.go
@@ -147,5 +147,5 @@
 	for _, e := range batch {
 		n.handle(e)
 	}
-	n.failAll(detailStopped)
+	n.failAll(ReasonDraining, detailStopped)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -156,3 +156,15 @@
 		t.Errorf("results %v", codes)
 	}
 }
+
+// A request that is left when a drain runs out of time fails since the node is shutting down.
+func TestRequestLeftByADrainFailsAsDraining(t *testing.T) {
+	n := newNode(t, nil)
+	var final FinalResponse
+	n.Submit(newRequest(), func(r FinalResponse) { final = r })
+	n.handleEvents(n.takeQueue(nil))
+	n.failRemaining()
+	if final.Kind != Failed || final.Reason != ReasonDraining || final.Detail != detailStopped {
+		t.Errorf("%+v", final)
+	}
+}
--- a/node/policy.go
+++ b/node/policy.go
@@ -87,7 +87,7 @@
 func (n *Node) restartPolicy(event policy.Event, cause error) {
 	n.options.Logger.Error("policy panicked; failing all requests and restarting policy",
 		"event", fmt.Sprintf("%T", event), "panic", cause)
-	n.failAll(detailPolicyPanicked)
+	n.failAll(ReasonInternal, detailPolicyPanicked)
 	n.seed++
 	gateway, err := policy.New(n.options.Settings, n.seed)
 	if err != nil {
@@ -103,10 +103,10 @@
 
 // failAll fails and releases every request, and ends all work in flight: a result that is on its
 // way comes too late.
-func (n *Node) failAll(detail string) {
+func (n *Node) failAll(reason Reason, detail string) {
 	for _, r := range n.requests {
 		n.abandonCheck(r)
-		n.respond(r, FinalResponse{Kind: Failed, Reason: ReasonInternal, Detail: detail})
+		n.respond(r, FinalResponse{Kind: Failed, Reason: reason, Detail: detail})
 		r.work.stop()
 		r.endAttempt(Result{Code: policy.Cancelled, Detail: detail})
 		n.release(r)
--- a/node/reasons.go
+++ b/node/reasons.go
@@ -31,8 +31,8 @@
 	ReasonAuthorizationTimeout     Reason = "authorisation-late"        // the authorization service was too slow
 	ReasonAuthorizationUnreachable Reason = "authorisation-unreachable" // the authorization service could not be reached
 	ReasonOverload                 Reason = "overload"                  // the node has too many unanswered requests, or all its connections to servers were in use
-	ReasonDraining                 Reason = "draining"                  // the node is shutting down
-	ReasonInternal                 Reason = "internal"                  // the policy panicked, or the node stopped before the request was answered
+	ReasonDraining                 Reason = "draining"                  // the node is shutting down, or stopped before the request was answered
+	ReasonInternal                 Reason = "internal"                  // the policy panicked
 	ReasonClientDisconnected       Reason = "client-gone"               // in logs only
 )
 
