Policy: a request that no leader answers is rejected for its own cause

What callers saw: quota-unknown for requests past their deadline, beyond their rate quota, or without a server, wherever no quota leader answered: operators looked at peers and keys. Cause: admitWithoutLease gave ReasonNoQuotaLeader for everything that it did not admit. Evidence: TestRejectionWithoutLeaderNamesItsCause, new: three of four cases failed before. Change: each cause has its own reason; ReasonNoQuotaLeader remains for a lost draw and a hard ceiling. Left: a request queued at a leader that is lost still ends as open-cap (ROADMAP).

--- a/policy/lease_client.go
+++ b/policy/lease_client.go
@@ -152,30 +152,29 @@
 }
 
 // admitWithoutLease decides on a request that no leader answers, by this gateway's own estimate of the
-// bucket. Every request that is not admitted ends with ReasonNoQuotaLeader, whatever the cause: the deadline
-// has passed, the draw failed (see unansweredPower), there is a hard ceiling, the request is beyond the
-// estimated quota, or no server has capacity left.
+// bucket. With ReasonNoQuotaLeader end those for which an answer of a leader was needed: the draw failed
+// (see unansweredPower), or there is a hard ceiling, from which only leaders may spend.
 func (g *Gateway) admitWithoutLease(r *request, partitionChance float64) {
-	if !g.mayAdmitWithoutLease(r, partitionChance) || !g.startAttempt(r) {
+	switch {
+	case g.now >= r.deadline:
+		g.reject(r, ReasonNoTime)
+	case !g.drawsAdmission(r.customer, partitionChance) || r.customer.plan.HardRate > 0:
 		g.reject(r, ReasonNoQuotaLeader)
+	case !g.withinQuota(r):
+		g.reject(r, g.quotaRejection(r))
+	case !g.startAttempt(r):
+		g.reject(r, ReasonNoServer)
 	}
 }
 
-// mayAdmitWithoutLease draws whether a request is admitted without a lease, and checks the quotas. With a
-// recent external usage level the draw always succeeds.
-func (g *Gateway) mayAdmitWithoutLease(r *request, partitionChance float64) bool {
-	if g.now >= r.deadline {
-		return false
-	}
-	c := r.customer
+// drawsAdmission draws whether a request of a customer may be admitted without a lease. With a recent
+// external usage level the draw always succeeds.
+func (g *Gateway) drawsAdmission(c *customer, partitionChance float64) bool {
 	chance := math.Pow(g.leases.responseRate, unansweredPower) + partitionChance
 	if c.externalLevelAt > 0 && g.now-c.externalLevelAt < externalLevelTTL {
 		chance = 1
 	}
-	if g.rng.Float64() > chance {
-		return false
-	}
-	return c.plan.HardRate <= 0 && g.withinQuota(r) // only leaders may spend from a ceiling
+	return g.rng.Float64() <= chance
 }
 
 // handleLeaseTimer repeats the lease requests that had no response in time. A request that the leader queued
--- a/policy/lease_test.go
+++ b/policy/lease_test.go
@@ -134,3 +134,33 @@
 		}
 	}
 }
+
+// A request that no leader answers is rejected for what is in its way here, and for want of a leader only where that
+// is what it lacks.
+func TestRejectionWithoutLeaderNamesItsCause(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		plan    string
+		servers []Server
+		prepare func(*Gateway, *request)
+		want    Reason
+	}{
+		{"deadline", "rate", testServers(4), func(g *Gateway, r *request) { r.deadline = g.now }, ReasonNoTime},
+		{"hard ceiling", "hard and rate", testServers(4), func(*Gateway, *request) {}, ReasonNoQuotaLeader},
+		{"rate quota", "rate", testServers(4), func(_ *Gateway, r *request) { r.customer.tokens = 0 }, ReasonQuotaExceeded},
+		{"no server", "rate", nil, func(*Gateway, *request) {}, ReasonNoServer},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newGatewayFleet(t, 60, c.servers)
+			g := w.gateways[0]
+			r := g.newLocalRequest(Request{ID: 1, Customer: "k", Plan: c.plan, Class: "safe", Units: 1, Remaining: time.Second, GatewaySpread: 60})
+			c.prepare(g, r)
+			g.actions = nil
+			g.admitWithoutLease(r, 1)
+			got := actionsOf[Reject](g.actions)
+			if len(got) != 1 || got[0].Reason != c.want {
+				t.Errorf("got %+v, want reason %v", got, c.want)
+			}
+		})
+	}
+}
