Authorization: a most_out below 4 is kept

What was seen: with most_out = 1, up to 4 checks were in flight at an address after one failure. Cause: failures, slow results and a recovery set the adaptive limit to its floor of 4. Evidence: TestConcurrencyLimitBelowTheFloorIsKept, new, for 1 to 3: before, it fails after failures, slow results and recoveries. Change: the floor is at most MaxInFlight.

--- a/authz/concurrency_limit.go
+++ b/authz/concurrency_limit.go
@@ -4,7 +4,7 @@
 
 const (
 	// minConcurrency is what failures and slow results reduce a limit to at most, so that an
-	// address can still show that it has recovered.
+	// address can still show that it has recovered; less where MaxInFlight is lower.
 	minConcurrency = 4.0
 	// initialConcurrency is the limit of a new address, where MaxInFlight is not lower.
 	initialConcurrency = 16.0
@@ -27,14 +27,17 @@
 // results are quick and the limit is in use, multiplicative decrease when they are slow or missing.
 type concurrencyLimit struct {
 	limit           float64
+	minLimit        float64
 	maxLimit        float64
 	baselineSeconds float64 // latency without a queue; 0: not known
 }
 
 func newConcurrencyLimit(maxInFlight int) concurrencyLimit {
+	maxLimit := float64(max(1, maxInFlight))
 	return concurrencyLimit{
-		limit:    min(initialConcurrency, float64(max(1, maxInFlight))),
-		maxLimit: float64(maxInFlight),
+		limit:    min(initialConcurrency, maxLimit),
+		minLimit: min(minConcurrency, maxLimit),
+		maxLimit: maxLimit,
 	}
 }
 
@@ -42,7 +45,7 @@
 func (l *concurrencyLimit) allows(inFlight int) bool { return float64(inFlight) < max(1, l.limit) }
 
 // recordFailure records a check without a result.
-func (l *concurrencyLimit) recordFailure() { l.limit = max(minConcurrency, l.limit*failureDecrease) }
+func (l *concurrencyLimit) recordFailure() { l.limit = max(l.minLimit, l.limit*failureDecrease) }
 
 // recordResult records the latency of a result, and how many other checks are in flight.
 func (l *concurrencyLimit) recordResult(latencySeconds float64, inFlight int) {
@@ -53,11 +56,11 @@
 	slowSeconds := max(slowFactor*l.baselineSeconds, l.baselineSeconds+slowMargin.Seconds())
 	switch {
 	case latencySeconds > slowSeconds:
-		l.limit = max(minConcurrency, l.limit*slowDecrease)
+		l.limit = max(l.minLimit, l.limit*slowDecrease)
 	case float64(inFlight) >= l.limit*growUsage:
 		l.limit = min(l.maxLimit, l.limit+1/l.limit)
 	}
 }
 
 // reset starts again from the lowest limit, so that an address that has recovered is not flooded.
-func (l *concurrencyLimit) reset() { l.limit = minConcurrency }
+func (l *concurrencyLimit) reset() { l.limit = l.minLimit }
--- a/authz/concurrency_limit_test.go
+++ b/authz/concurrency_limit_test.go
@@ -42,3 +42,23 @@
 		t.Errorf("limit %v, want %v", l.limit, want)
 	}
 }
+
+// A limit that is configured below the usual floor is kept, whatever the results are.
+func TestConcurrencyLimitBelowTheFloorIsKept(t *testing.T) {
+	for maxInFlight := 1; maxInFlight < minConcurrency; maxInFlight++ {
+		for name, record := range map[string]func(*concurrencyLimit){
+			"failures":     (*concurrencyLimit).recordFailure,
+			"slow results": func(l *concurrencyLimit) { l.recordResult(0.001, 0); l.recordResult(1, 0) },
+			"results":      func(l *concurrencyLimit) { l.recordResult(0.001, 4) },
+			"recovery":     (*concurrencyLimit).reset,
+		} {
+			l := newConcurrencyLimit(maxInFlight)
+			for range 20 {
+				record(&l)
+			}
+			if l.allows(maxInFlight) || !l.allows(maxInFlight-1) {
+				t.Errorf("limit %v after %s, want %d", l.limit, name, maxInFlight)
+			}
+		}
+	}
+}
