Authorization: a check from before the breaker opened does not end its probe

What was seen: while a breaker was half-open, the end of a check that had been sent before it opened counted as the probe's: a second probe went out, or the breaker opened again for twice as long. Cause: the flag of the probe in flight belonged to the address, and any check's end took it. Evidence: TestEarlierCheckDoesNotEndTheProbe, new. Change: each check knows whether it is a probe.

--- a/authz/address.go
+++ b/authz/address.go
@@ -34,14 +34,17 @@
 	return a.breaker.allows(now) && a.limit.allows(a.inFlight)
 }
 
-func (a *address) checkSent() {
+// checkSent counts a check, and reports whether it is a probe.
+func (a *address) checkSent() (isProbe bool) {
 	a.inFlight++
-	a.breaker.checkSent()
+	return a.breaker.checkSent()
 }
 
-func (a *address) checkCanceled() {
+func (a *address) checkCanceled(isProbe bool) {
 	a.inFlight--
-	a.breaker.checkEnded()
+	if isProbe {
+		a.breaker.checkEnded()
+	}
 }
 
 // breakerChange is what the end of a check did to the breaker of its address.
@@ -53,17 +56,20 @@
 	breakerClosed
 )
 
-// checkEnded records the result of a check.
-func (a *address) checkEnded(now time.Time, result CheckResult, timeout time.Duration, rng *rand.Rand) breakerChange {
+// checkEnded records the result of a check. One that was sent before the breaker opened is no probe,
+// and leaves the one in flight alone.
+func (a *address) checkEnded(now time.Time, isProbe bool, result CheckResult, timeout time.Duration, rng *rand.Rand) breakerChange {
 	a.inFlight--
-	probe := a.breaker.checkEnded()
+	if isProbe {
+		a.breaker.checkEnded()
+	}
 	switch {
 	case result.Outcome.hasResult():
 		return a.recordResult(now, result.Latency)
 	case result.ProcessPaused:
 		return breakerUnchanged
 	default:
-		return a.recordFailure(now, probe, timeout, rng)
+		return a.recordFailure(now, isProbe, timeout, rng)
 	}
 }
 
--- a/authz/circuit_breaker.go
+++ b/authz/circuit_breaker.go
@@ -44,11 +44,14 @@
 	return !b.open(now) && b.failures == 0 && !b.tripped
 }
 
-// checkSent must be called for each check.
-func (b *circuitBreaker) checkSent() { b.probeInFlight = b.tripped }
+// checkSent must be called for each check, and reports whether it is a probe.
+func (b *circuitBreaker) checkSent() (isProbe bool) {
+	b.probeInFlight = b.tripped
+	return b.probeInFlight
+}
 
-// checkEnded must be called for each check that ended or was canceled, and reports whether it
-// was a probe.
+// checkEnded must be called for each probe that ended or was canceled; for another check it
+// changes nothing, unless a probe is in flight. It reports whether there was one.
 func (b *circuitBreaker) checkEnded() (probe bool) {
 	probe = b.probeInFlight
 	b.probeInFlight = false
--- a/authz/circuit_breaker_test.go
+++ b/authz/circuit_breaker_test.go
@@ -76,3 +76,27 @@
 		t.Errorf("not closed: %+v", b)
 	}
 }
+
+// A check that was sent before the breaker opened does not end the probe in flight, nor count as a failed one.
+func TestEarlierCheckDoesNotEndTheProbe(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for name, end := range map[string]func(a *address, now time.Time, isProbe bool){
+		"failed": func(a *address, now time.Time, isProbe bool) {
+			a.checkEnded(now, isProbe, CheckResult{Outcome: TimedOut}, breakerTestTimeout, rng)
+		},
+		"canceled": func(a *address, _ time.Time, isProbe bool) { a.checkCanceled(isProbe) },
+	} {
+		a := newAddress(0, 100)
+		earlier := a.checkSent()
+		for range openAfterFailures {
+			a.checkEnded(testStart, a.checkSent(), CheckResult{Outcome: TimedOut}, breakerTestTimeout, rng)
+		}
+		now := a.breaker.openUntil
+		a.checkSent() // the probe
+		openTime := a.breaker.openTime
+		end(a, now, earlier)
+		if a.accepts(now) || a.breaker.openTime != openTime {
+			t.Errorf("%s: accepts a second probe: %v; open for %v after %v", name, a.accepts(now), a.breaker.openTime, openTime)
+		}
+	}
+}
--- a/authz/decider.go
+++ b/authz/decider.go
@@ -113,7 +113,7 @@
 	}
 	asked := d.addresses[r.address]
 	r.address = noAddress
-	d.noteBreaker(asked, asked.checkEnded(now, result, d.settings.Timeout, d.rng))
+	d.noteBreaker(asked, asked.checkEnded(now, r.isProbe, result, d.settings.Timeout, d.rng))
 	if result.Outcome.hasResult() {
 		if ttl := cmp.Or(result.CacheTTL, r.class.CacheTTL); ttl > 0 {
 			d.cache.put(now, r.cacheKey(), result, ttl)
@@ -137,7 +137,7 @@
 	}
 	delete(d.requests, id)
 	if r.inFlight() {
-		d.addresses[r.address].checkCanceled()
+		d.addresses[r.address].checkCanceled(r.isProbe)
 		r.address = noAddress
 		d.emit(CancelCheck{ID: id})
 	}
@@ -227,7 +227,7 @@
 	r.attempts++
 	r.address = a.index
 	r.lastAddress = a.index
-	a.checkSent()
+	r.isProbe = a.checkSent()
 	d.emit(SendCheck{ID: r.ID, Attempt: attempt, Address: a.index, Timeout: timeout})
 }
 
--- a/authz/request.go
+++ b/authz/request.go
@@ -13,9 +13,10 @@
 	startedAt   time.Time
 	deadline    time.Time // without a result by then, the fallback decides
 	overQuota   bool
-	attempts    int // checks sent
-	address     int // of the check in flight, or noAddress
-	lastAddress int // of the latest check, or noAddress
+	attempts    int  // checks sent
+	address     int  // of the check in flight, or noAddress
+	lastAddress int  // of the latest check, or noAddress
+	isProbe     bool // the check in flight is a probe of its address
 	queued      bool
 	unreachable bool // a check failed, or no address accepted one
 }
