Authorization: the estimate of who is over quota counts units

What was seen: a request counted as one unit against a rate in units: customers with large requests passed the estimate far over their quota, those with fractions of a unit were held to be over it. Cause: take subtracted 1 for each request; the decider was not told the units. Evidence: TestQuotaEstimateCountsUnits, new: with 1 for each request both of its parts fail (trial). The tests before state 1 unit now, which was implied; their assertions are the same. Change: Request has Units, which the node fills in.

--- a/authz/decider.go
+++ b/authz/decider.go
@@ -80,7 +80,7 @@
 		class:       class,
 		startedAt:   now,
 		deadline:    now.Add(checkTime),
-		overQuota:   d.quota.take(now, request.Customer, request.Plan),
+		overQuota:   d.quota.take(now, request.Customer, request.Plan, request.Units),
 		address:     noAddress,
 		lastAddress: noAddress,
 	}
--- a/authz/decider_test.go
+++ b/authz/decider_test.go
@@ -114,7 +114,7 @@
 	}
 	m.unresolved[m.lastID] = r
 	customer := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "customer")
-	m.carryOut(t, m.decider.StartRequest(m.now, Request{ID: m.lastID, Class: r.class, Customer: customer, Plan: "p",
+	m.carryOut(t, m.decider.StartRequest(m.now, Request{ID: m.lastID, Class: r.class, Customer: customer, Plan: "p", Units: 1,
 		Resource: "x", Remaining: remaining}))
 }
 
--- a/authz/events.go
+++ b/authz/events.go
@@ -9,6 +9,7 @@
 	Class    string
 	Customer string
 	Plan     string
+	Units    float64 // cost, as counted against the plan's rate
 	// Resource is what the request is for. Results are cached by customer, class and resource.
 	Resource string
 	// Remaining is the time until the request's deadline, for the check and the servers together.
--- a/authz/over_quota.go
+++ b/authz/over_quota.go
@@ -11,7 +11,7 @@
 	bucketIdleTime = time.Minute
 )
 
-// tokenBucket counts the requests that a customer may start now.
+// tokenBucket counts the units that a customer may use now.
 type tokenBucket struct {
 	tokens    float64
 	updatedAt time.Time
@@ -27,8 +27,8 @@
 	return &quotaEstimator{plans: plans, buckets: map[string]*tokenBucket{}}
 }
 
-// take counts a request, and reports whether its customer is over quota.
-func (e *quotaEstimator) take(now time.Time, customer, planName string) (overQuota bool) {
+// take counts a request of so many units, and reports whether its customer is over quota.
+func (e *quotaEstimator) take(now time.Time, customer, planName string, units float64) (overQuota bool) {
 	plan := e.plans[planName]
 	if plan.Rate <= 0 {
 		return false
@@ -42,10 +42,10 @@
 	elapsed := now.Sub(b.updatedAt).Seconds()
 	b.tokens = min(capacity, b.tokens+overQuotaFactor*plan.Rate*elapsed)
 	b.updatedAt = now
-	if b.tokens < 1 {
+	if b.tokens < units {
 		return true
 	}
-	b.tokens--
+	b.tokens -= units
 	return false
 }
 
--- a/authz/over_quota_test.go
+++ b/authz/over_quota_test.go
@@ -8,20 +8,20 @@
 func TestQuotaEstimate(t *testing.T) {
 	e := newQuotaEstimator(map[string]Plan{"p": {Rate: 5, Burst: 3}, "unlimited": {}})
 	for i := range 4 {
-		if over := e.take(testStart, "a", "p"); over != (i == 3) {
+		if over := e.take(testStart, "a", "p", 1); over != (i == 3) {
 			t.Errorf("request %d of a burst of 3: over quota is %v", i+1, over)
 		}
 	}
-	if e.take(testStart, "b", "p") {
+	if e.take(testStart, "b", "p", 1) {
 		t.Error("another customer of the plan is over quota")
 	}
 	for range 100 {
-		if e.take(testStart, "c", "unlimited") || e.take(testStart, "d", "unknown") {
+		if e.take(testStart, "c", "unlimited", 1) || e.take(testStart, "d", "unknown", 1) {
 			t.Fatal("over quota without a rate")
 		}
 	}
 	refilled := testStart.Add(100 * time.Millisecond) // one token at twice the rate of 5
-	if e.take(refilled, "a", "p") || !e.take(refilled, "a", "p") {
+	if e.take(refilled, "a", "p", 1) || !e.take(refilled, "a", "p", 1) {
 		t.Error("not one token after the time for one")
 	}
 	e.removeIdle(refilled.Add(bucketIdleTime))
@@ -29,3 +29,16 @@
 		t.Errorf("%d buckets, want that of a alone", len(e.buckets))
 	}
 }
+
+// Requests count with their units, as the plan's rate does.
+func TestQuotaEstimateCountsUnits(t *testing.T) {
+	e := newQuotaEstimator(map[string]Plan{"p": {Rate: 5, Burst: 3}})
+	for i := range 7 {
+		if over := e.take(testStart, "small", "p", 0.5); over != (i == 6) {
+			t.Errorf("request %d of half a unit, of a burst of 3: over quota is %v", i+1, over)
+		}
+	}
+	if e.take(testStart, "large", "p", 2) || !e.take(testStart, "large", "p", 2) {
+		t.Error("two requests of 2 units fit a burst of 3")
+	}
+}
--- a/authz/queue_test.go
+++ b/authz/queue_test.go
@@ -18,7 +18,7 @@
 	start := func(customer string) []Action {
 		id++
 		customers[id] = customer
-		return d.StartRequest(testStart, Request{ID: id, Class: "closed", Customer: customer, Plan: "p", Resource: fmt.Sprint(id), Remaining: time.Second})
+		return d.StartRequest(testStart, Request{ID: id, Class: "closed", Customer: customer, Plan: "p", Units: 1, Resource: fmt.Sprint(id), Remaining: time.Second})
 	}
 	var inFlight []SendCheck
 	rejected := 0
--- a/node/authorization.go
+++ b/node/authorization.go
@@ -21,6 +21,7 @@
 		Class:     request.Class,
 		Customer:  request.Customer,
 		Plan:      request.Plan,
+		Units:     request.Units,
 		Resource:  request.HTTP.Method + " " + request.HTTP.Target,
 		Remaining: r.deadline - n.now,
 	})
