Policy: a retry that is refused is not charged to the retry budget

What callers saw: while many attempts failed, refused retries drove the budget far below 0; until first attempts had earned the debt no request was retried, not even after a connection that failed. Cause: trySpend charged before it looked whether the budget covers the retry. Change: only a retry that is made is charged.

--- a/policy/retry.go
+++ b/policy/retry.go
@@ -11,31 +11,24 @@
 	maxRetryBudget = 12.0
 )
 
-// retryBudget is the number of retries that may be made now; below 0 it is a debt.
+// retryBudget is the number of retries that may be made now.
 type retryBudget float64
 
 func (b *retryBudget) earn() { *b = min(maxRetryBudget, *b+retryBudgetEarned) }
 
-// trySpend charges one retry and reports whether the budget covered it. The charge stays when it did not:
-// the budget may fall below 0, and first attempts must then earn the debt before there is another retry.
+// trySpend charges one retry, if the budget covers it, and reports whether it does.
 func (b *retryBudget) trySpend() bool {
+	if *b < 1 {
+		return false
+	}
 	*b--
-	return !b.inDebt()
+	return true
 }
 
-func (b *retryBudget) inDebt() bool { return *b < 0 }
-
 // takeRetry reports whether a request gets another attempt after one that ended with code, and charges the
-// retry budget for it. A retry that is refused for want of budget is charged too. A retry after an attempt
-// that never reached a server's queue is free, but is refused as well while the budget is in debt.
+// retry budget for it. A retry after an attempt that never reached a server's queue is free.
 func (g *Gateway) takeRetry(r *request, code ResultCode) bool {
-	if !g.mayRetry(r) {
-		return false
-	}
-	if retryIsFree(code) {
-		return !g.retryBudget.inDebt()
-	}
-	return g.retryBudget.trySpend()
+	return g.mayRetry(r) && (retryIsFree(code) || g.retryBudget.trySpend())
 }
 
 // retryIsFree reports whether a retry after the result costs no budget: the attempt proves to have added no
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -81,3 +81,22 @@
 		}
 	}
 }
+
+// A retry that is refused for want of budget costs nothing: the next first attempts earn one again, and free
+// retries go on.
+func TestRefusedRetryIsNotCharged(t *testing.T) {
+	w := newHarness(t, baseSettings(), testServers(8))
+	w.g.retryBudget = 0
+	for range 20 {
+		s := w.startAttempt("safe", "free")
+		w.finishAttempt(s, 0, Error)
+	}
+	if w.g.retryBudget < 0 {
+		t.Errorf("the budget fell to %v", w.g.retryBudget)
+	}
+	w.g.retryBudget = 0
+	s := w.startAttempt("safe", "free")
+	if acts := w.finishAttempt(s, 0, ConnectFailed); len(actionsOf[StartAttempt](acts)) != 1 {
+		t.Errorf("a free retry was refused: %v", acts)
+	}
+}
