Configuration: a key that its block needs is asked for

What operators saw: nothing. A class without effect was silently unsafe, one without aim or deadline got a default, a listener, peer or server without address an empty one. Cause: values stay expressions, and the HCL library takes expressions for optional whatever their tag says. Evidence: TestMissingKeyIsAMistake, new: twelve keys taken out of the example one by one; before, each was accepted. A configuration that lacks one is refused now.

--- a/config/hcl_schema.go
+++ b/config/hcl_schema.go
@@ -65,8 +65,9 @@
 }
 
 type routeBlock struct {
-	Method hcl.Expression `hcl:"method"`
-	Path   hcl.Expression `hcl:"path"`
+	Method   hcl.Expression `hcl:"method"`
+	Path     hcl.Expression `hcl:"path"`
+	DefRange hcl.Range      `hcl:",def_range"`
 }
 
 type planBlock struct {
@@ -129,13 +130,15 @@
 }
 
 type edsBlock struct {
-	Address hcl.Expression `hcl:"address"`
-	Cluster hcl.Expression `hcl:"cluster"`
+	Address  hcl.Expression `hcl:"address"`
+	Cluster  hcl.Expression `hcl:"cluster"`
+	DefRange hcl.Range      `hcl:",def_range"`
 }
 
 type rejectionBlock struct {
-	Status hcl.Expression `hcl:"status"`
-	Header hcl.Expression `hcl:"header"`
+	Status   hcl.Expression `hcl:"status"`
+	Header   hcl.Expression `hcl:"header"`
+	DefRange hcl.Range      `hcl:",def_range"`
 }
 
 type authorizerBlock struct {
@@ -155,6 +158,7 @@
 	Timeout           hcl.Expression `hcl:"limit,optional"`
 	Window            hcl.Expression `hcl:"window,optional"`
 	Retention         hcl.Expression `hcl:"keep,optional"`
+	DefRange          hcl.Range      `hcl:",def_range"`
 }
 
 type limitsBlock struct {
--- a/config/load.go
+++ b/config/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"reflect"
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
@@ -28,6 +29,7 @@
 		var decoded file
 		diags = append(diags, gohcl.DecodeBody(parsed.Body, nil, &decoded)...)
 		l.endOfFile = parsed.Body.MissingItemRange()
+		l.requireKeys(reflect.ValueOf(decoded), l.endOfFile)
 		l.file(&decoded)
 	}
 	diags = append(diags, l.diags...)
--- a/config/load_test.go
+++ b/config/load_test.go
@@ -120,3 +120,34 @@
 		}
 	})
 }
+
+// Each key that a block needs is asked for where it is missing: nothing stands in for it.
+func TestMissingKeyIsAMistake(t *testing.T) {
+	src := example(t)
+	for _, c := range []struct{ line, key string }{
+		{`{ address = "127.0.0.1:8080" }`, "address"},
+		{`  effect        = "safe"` + "\n", "effect"},
+		{`  aim           = "800ms"` + "\n", "aim"},
+		{`  deadline      = "3s"` + "\n", "deadline"},
+		{`    method = "GET"` + "\n", "method"},
+		{`    path   = "/records/{id}"` + "\n", "path"},
+		{`  keys = ["key-of-school-1"]` + "\n", "keys"},
+		{`  listen          = "127.0.0.1:8090"` + "\n", "listen"},
+		{`{ address = "127.0.0.1:8190" }`, "address"},
+		{`    address = "127.0.0.1:9001"` + "\n", "address"},
+		{`    status = 503` + "\n", "status"},
+		{`    header = "x-not-run"` + "\n", "header"},
+	} {
+		if strings.Count(src, c.line) != 1 {
+			t.Fatalf("%q stands %d times in the example", c.line, strings.Count(src, c.line))
+		}
+		replacement := ""
+		if strings.HasPrefix(c.line, "{") {
+			replacement = "{}"
+		}
+		_, err := Parse([]byte(strings.Replace(src, c.line, replacement, 1)), "node.hcl")
+		if want := "The key \"" + c.key + "\" is needed in this block"; err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("without %q: %v", c.line, err)
+		}
+	}
+}
