Policy: any class can be ejected, and more than 256 classes or plans are refused

What callers saw: a server that failed a class beyond the eighth went on getting requests of it. With more than 256 classes or plans, other gateways took requests for another class or plan. Cause: outlier reports had one byte of bits for classes; messages name classes and plans by a position in one byte, and New bounded neither. Evidence: TestEjectionForAnyOfManyClasses, new, with 256 classes: before, classes 8, 40 and 255 were never ejected. TestNewBoundsPlansAndClasses, new: before, 257 of each were accepted. Change: an outlier report has further bytes where a class beyond the eighth is ejected; others keep their bytes. New refuses 257 of either.

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -62,7 +62,7 @@
 // customerPlan is a plan with its position in the settings.
 type customerPlan struct {
 	Plan
-	index byte // the low 8 bits of the position
+	index byte
 }
 
 // hasQuota reports whether the plan limits its customers at all.
--- a/policy/outlier_detection.go
+++ b/policy/outlier_detection.go
@@ -133,13 +133,24 @@
 	}
 }
 
-// ejectedClasses has a bit for each class for which the server is reported as ejected. The byte holds the
-// first eight classes of the settings only. The number of classes is not bounded, and a server is never
-// ejected for a class beyond the eighth.
-func (s *server) ejectedClasses() (classes byte) {
+// maxClasses is the number of classes that messages can name.
+const maxClasses = 256
+
+// classSetBytes is the size of a classSet, of eight classes a byte.
+const classSetBytes = maxClasses / 8
+
+// classSet has a bit for each class of the settings.
+type classSet [classSetBytes]byte
+
+func (s *classSet) add(class int) { s[class/8] |= 1 << (class % 8) }
+
+func (s *classSet) contains(class int) bool { return s[class/8]>>(class%8)&1 == 1 }
+
+// ejectedClasses are the classes for which the server is reported as ejected.
+func (s *server) ejectedClasses() (classes classSet) {
 	for i := range s.health {
 		if s.health[i].ejected {
-			classes |= 1 << i
+			classes.add(i)
 		}
 	}
 	return classes
@@ -155,14 +166,14 @@
 	return until
 }
 
-// classesToEject has a bit for each class, of the first eight, for which the server should be ejected (see
-// ejectedClasses). The second monitor does not end an ejection.
-func (s *server) classesToEject(isFirstMonitor bool) (classes byte) {
+// classesToEject are the classes for which the server should be ejected. The second monitor does not end an
+// ejection.
+func (s *server) classesToEject(isFirstMonitor bool) (classes classSet) {
 	for i := range s.health {
 		h := &s.health[i]
 		staysEjected := h.ejected && (!isFirstMonitor || h.failureRate > ejectionThreshold/2)
 		if h.failureRate > ejectionThreshold || staysEjected {
-			classes |= 1 << i
+			classes.add(i)
 		}
 	}
 	return classes
--- a/policy/outlier_detection_test.go
+++ b/policy/outlier_detection_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -168,3 +169,34 @@
 		t.Errorf("a latency ratio of %.2f", s.observedRatio)
 	}
 }
+
+// A server is ejected for any class that fails there, however many classes there are, and the fleet hears of it.
+func TestEjectionForAnyOfManyClasses(t *testing.T) {
+	for _, failing := range []int{0, 7, 8, 40, 255} {
+		s := baseSettings()
+		s.Gateways = 60
+		for i := len(s.Classes); i < 256; i++ {
+			s.Classes = append(s.Classes, Class{Name: fmt.Sprint("class ", i), LatencyObjective: time.Second, Deadline: time.Second})
+		}
+		server := testServers(1)
+		monitor := newHarness(t, s, server)
+		s.SelfIndex = monitor.g.endpoints.list[0].monitors[0]
+		monitor, other := newHarness(t, s, server), newHarness(t, s, server)
+		other.g.settings.SelfIndex = (s.SelfIndex + 5) % s.Gateways
+		succeeding := (failing + 1) % len(s.Classes)
+		for range 40 {
+			monitor.now += 100 * ms
+			for _, r := range []outcomeReport{{Class: byte(failing), Code: byte(Error)}, {Class: byte(succeeding), Code: byte(OK)}} {
+				r.Server, r.LatencyMS = uint32(server[0].ID), 50
+				report := r.encode()
+				for _, m := range actionsOf[SendPeerMessage](monitor.handle(PeerMessage{From: other.g.settings.SelfIndex, Data: report})) {
+					other.handle(PeerMessage{From: s.SelfIndex, Data: m.Data})
+				}
+			}
+		}
+		health := other.g.endpoints.list[0].health
+		if !health[failing].ejected || health[succeeding].ejected {
+			t.Errorf("class %d fails: ejected %v, and %v for the next one", failing, health[failing].ejected, health[succeeding].ejected)
+		}
+	}
+}
--- a/policy/outlier_monitor.go
+++ b/policy/outlier_monitor.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"bytes"
 	"math"
 	"slices"
 	"time"
@@ -114,20 +115,21 @@
 
 // outlierReportDue reports whether the classes to eject or the latency ratio differ from what was last
 // reported, or a report that ejects the server must be repeated before it expires.
-func (g *Gateway) outlierReportDue(s *server, toEject byte) bool {
+func (g *Gateway) outlierReportDue(s *server, toEject classSet) bool {
 	ratioChange := max(s.observedRatio/s.latencyRatio, s.latencyRatio/s.observedRatio)
 	ratioChanged := g.size.leaderMode && ratioChange > latencyRatioStep
 	expiresSoon := s.lastEjectedUntil()-g.now < outlierReportRenewal
-	repeatIsDue := g.isFirstMonitor(s) && toEject != 0 && expiresSoon
+	repeatIsDue := g.isFirstMonitor(s) && toEject != classSet{} && expiresSoon
 	return toEject != s.ejectedClasses() || ratioChanged || repeatIsDue
 }
 
 // sendOutlierReport applies an outlier report here and, in leader mode, sends it to all other gateways.
-func (g *Gateway) sendOutlierReport(s *server, toEject byte) {
+func (g *Gateway) sendOutlierReport(s *server, toEject classSet) {
 	m := outlierReport{
 		Server:         uint32(s.ID),
-		EjectedClasses: toEject,
+		EjectedClasses: toEject[0],
 		LatencyRatio:   encodeLatencyRatio(s.observedRatio),
+		FurtherClasses: bytes.TrimRight(toEject[1:], "\x00"),
 	}
 	g.applyOutlierReport(m)
 	if g.size.leaderMode {
@@ -152,8 +154,11 @@
 	if s == nil {
 		return
 	}
+	var ejected classSet
+	ejected[0] = m.EjectedClasses
+	copy(ejected[1:], m.FurtherClasses)
 	for i := range s.health {
-		s.health[i].ejected = m.EjectedClasses>>i&1 == 1
+		s.health[i].ejected = ejected.contains(i)
 		s.health[i].ejectedUntil = g.now + outlierReportTTL
 	}
 	s.latencyRatio = decodeLatencyRatio(m.LatencyRatio)
--- a/policy/peer_messages.go
+++ b/policy/peer_messages.go
@@ -46,7 +46,7 @@
 	kindLeaseResponse: 4 + 1 + 1 + 1 + 1,
 	kindLeaseReturn:   8 + 4 + 1,
 	kindOutcomeReport: 4 + 1 + 1 + 2,
-	kindOutlierReport: 4 + 1 + 1,
+	kindOutlierReport: 4 + 1 + 1, // and the further classes
 }
 
 // leaseRequest requests a lease for one request from a customer's leader.
@@ -102,6 +102,10 @@
 	Server         uint32
 	EjectedClasses byte // a bit for each of the first eight classes of the settings
 	LatencyRatio   byte // encoded by encodeLatencyRatio
+
+	// FurtherClasses has a bit for each further class, in bytes of eight, without zeros at the end. Gateways
+	// of older builds drop reports that have any.
+	FurtherClasses []byte
 }
 
 func (m leaseRequest) encode() []byte {
@@ -140,7 +144,8 @@
 func (m outlierReport) encode() []byte {
 	b := newShortMessage(kindOutlierReport)
 	b = binary.BigEndian.AppendUint32(b, m.Server)
-	return append(b, m.EjectedClasses, m.LatencyRatio)
+	b = append(b, m.EjectedClasses, m.LatencyRatio)
+	return append(b, m.FurtherClasses...)
 }
 
 func newShortMessage(kind messageKind) []byte {
@@ -158,12 +163,18 @@
 	}
 	kind := messageKind(b[1])
 	b = b[shortMessageHeaderBytes:]
-	if int(kind) >= len(shortMessageLengths) || len(b) != shortMessageLengths[kind] {
+	if int(kind) >= len(shortMessageLengths) || !hasLengthOf(kind, len(b)) {
 		return nil
 	}
 	return decodeShortMessage(kind, b)
 }
 
+// hasLengthOf reports whether a short message of a kind may have a length, without its header.
+func hasLengthOf(kind messageKind, length int) bool {
+	further := length - shortMessageLengths[kind]
+	return further == 0 || kind == kindOutlierReport && further > 0 && further < classSetBytes
+}
+
 // decodeShortMessage reads the fields of a short message of the right length.
 func decodeShortMessage(kind messageKind, b []byte) peerMessage {
 	number := binary.BigEndian
@@ -196,7 +207,11 @@
 		return outcomeReport{Server: number.Uint32(b), Class: b[4], Code: b[5],
 			LatencyMS: number.Uint16(b[6:])}
 	case kindOutlierReport:
-		return outlierReport{Server: number.Uint32(b), EjectedClasses: b[4], LatencyRatio: b[5]}
+		m := outlierReport{Server: number.Uint32(b), EjectedClasses: b[4], LatencyRatio: b[5]}
+		if len(b) > shortMessageLengths[kind] {
+			m.FurtherClasses = b[shortMessageLengths[kind]:]
+		}
+		return m
 	}
 	return nil
 }
--- a/policy/peer_messages_test.go
+++ b/policy/peer_messages_test.go
@@ -30,6 +30,7 @@
 			leaseReturn{Customer: 0x0102030405060708, Tag: 0x11121314, Unused: true}},
 		{"outcome report", "0303" + "01020304" + "05" + "06" + "0708", outcomeReport{Server: 0x01020304, Class: 5, Code: 6, LatencyMS: 0x0708}},
 		{"outlier report", "0304" + "01020304" + "05" + "06", outlierReport{Server: 0x01020304, EjectedClasses: 5, LatencyRatio: 6}},
+		{"outlier report, of more than eight classes", "0304" + "01020304" + "05" + "06" + "0008", outlierReport{Server: 0x01020304, EjectedClasses: 5, LatencyRatio: 6, FurtherClasses: []byte{0, 8}}},
 		{"load report", "04" + "01020304" + "11121314" + "01" + "02" + // header, 2 servers
 			"2465" + "ffff" + // hashes of 11 bits, attempts in flight of 5 bits
 			"a1a2a3" + "4c" + "5152" + "61" + "fa" + // a customer
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -101,14 +101,12 @@
 	// Zone is the zone of this gateway. Servers of other zones are chosen less.
 	Zone string
 
-	// Classes are the classes of requests, at least one, in the same order at all gateways: messages name
-	// a class by its position in one byte. New does not bound their number, but only the first eight classes
-	// can be ejected at a server, and beyond 256 classes messages name the wrong one.
+	// Classes are the classes of requests, one to 256, in the same order at all gateways: messages name
+	// a class by its position in one byte.
 	Classes []Class
 
-	// Plans are the plans of customers, at least one, in the same order at all gateways: messages name a plan
-	// by its position in one byte. New does not bound their number, but beyond 256 plans messages name the
-	// wrong one.
+	// Plans are the plans of customers, one to 256, in the same order at all gateways: messages name a plan
+	// by its position in one byte.
 	Plans []Plan
 
 	// Resolution is the least time between two events in sequence, and how early or late a timer may
@@ -188,6 +186,9 @@
 // Error names the setting and the problem.
 func (e *SettingError) Error() string { return "policy: setting " + e.Field + ": " + e.Problem }
 
+// maxPlans is the number of plans that messages can name.
+const maxPlans = 256
+
 // check returns a *SettingError for the first setting that cannot be used.
 func (s *Settings) check() error {
 	if err := s.checkFleet(); err != nil {
@@ -218,8 +219,12 @@
 		return &SettingError{"PeerMessagesPerSecond", "negative"}
 	case len(s.Plans) == 0:
 		return &SettingError{"Plans", "none"}
+	case len(s.Plans) > maxPlans:
+		return &SettingError{"Plans", fmt.Sprintf("more than %d", maxPlans)}
 	case len(s.Classes) == 0:
 		return &SettingError{"Classes", "none"}
+	case len(s.Classes) > maxClasses:
+		return &SettingError{"Classes", fmt.Sprintf("more than %d", maxClasses)}
 	}
 	return nil
 }
--- a/policy/settings_test.go
+++ b/policy/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -27,3 +28,21 @@
 		}
 	}
 }
+
+// Messages name a plan and a class in one byte each: settings with more are not accepted.
+func TestNewBoundsPlansAndClasses(t *testing.T) {
+	for _, more := range []int{0, 1} {
+		for field, fill := range map[string]func(*Settings){
+			"Plans":   func(s *Settings) { s.Plans = slices.Repeat(s.Plans[:1], 256+more) },
+			"Classes": func(s *Settings) { s.Classes = slices.Repeat(s.Classes[:1], 256+more) },
+		} {
+			s := baseSettings()
+			fill(&s)
+			_, err := New(s, 1)
+			var setting *SettingError
+			if isRefused := errors.As(err, &setting) && setting.Field == field; isRefused != (more > 0) {
+				t.Errorf("%d %s: %v", 256+more, field, err)
+			}
+		}
+	}
+}
