Policy: customers that share a report hash keep their quotas

What callers saw: two customers whose names share a hash of 24 bits were each admitted their whole rate quota at every gateway: 1,254 units of two quotas of 210 at three gateways. Only a restart of all gateways ended it, also when one of the two had long gone. Cause: their reports were dropped on arrival, but the peers counted as heard, so each gateway took the others' demand for none. The table's entry stayed nil for good. Change: while they share a hash they are not reported, and are shared out as at gateways cut off from each other (at most 1.5 times the quotas in the test). When one is forgotten the other is reported again. Hard ceilings never depended on reports.

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -9,6 +9,7 @@
 type customer struct {
 	key           uint64 // names the customer in lease messages
 	reportHash    uint32 // names the customer in load reports
+	sharesHash    bool   // with another known customer
 	plan          *customerPlan
 	lastRequestAt time.Duration
 	active        bool // is in customerTable.active
@@ -93,26 +94,26 @@
 // customerTable holds the known customers.
 type customerTable struct {
 	byKey  map[uint64]*customer
-	byHash map[uint32]*customer // by reportHash; see add for hashes that collide
-	ring   []*customer          // all, in the order in which they became known
-	active []*customer          // those with recent events; ticks skip all others
-	queued []*customer          // those with queued requests
+	byHash map[uint32]*customer // by reportHash; nil where several share one
+
+	sharing map[uint32][]*customer // those that share a report hash
+	ring    []*customer            // all, in the order in which they became known
+	active  []*customer            // those with recent events; ticks skip all others
+	queued  []*customer            // those with queued requests
 }
 
 func newCustomerTable() customerTable {
-	return customerTable{byKey: map[uint64]*customer{}, byHash: map[uint32]*customer{}}
+	return customerTable{
+		byKey:   map[uint64]*customer{},
+		byHash:  map[uint32]*customer{},
+		sharing: map[uint32][]*customer{},
+	}
 }
 
-// add adds a customer. When two customers share a report hash, its entry in byHash becomes nil and stays so
-// until the process restarts, even after both are forgotten: this gateway then takes in no reports on any
-// customer with that hash.
+// add adds a customer.
 func (t *customerTable) add(c *customer) {
 	t.byKey[c.key] = c
-	if _, taken := t.byHash[c.reportHash]; taken {
-		t.byHash[c.reportHash] = nil
-	} else {
-		t.byHash[c.reportHash] = c
-	}
+	t.addHash(c)
 	c.ringIndex = len(t.ring)
 	t.ring = append(t.ring, c)
 }
@@ -138,12 +139,45 @@
 	}
 }
 
-// unlink removes a customer from byHash and its views from their peers. The nil entry of a hash collision
-// stays.
-func (t *customerTable) unlink(c *customer) {
-	if t.byHash[c.reportHash] == c {
+// addHash adds a customer to byHash. Of customers that share a report hash no reports are sent or taken in.
+func (t *customerTable) addHash(c *customer) {
+	other, taken := t.byHash[c.reportHash]
+	if !taken {
+		t.byHash[c.reportHash] = c
+		return
+	}
+	t.byHash[c.reportHash] = nil
+	if other != nil {
+		t.sharing[c.reportHash] = []*customer{other}
+		other.sharesHash = true
+	}
+	t.sharing[c.reportHash] = append(t.sharing[c.reportHash], c)
+	c.sharesHash = true
+}
+
+// removeHash removes a customer from byHash. The last one that is left of several is reported again.
+func (t *customerTable) removeHash(c *customer) {
+	if !c.sharesHash {
 		delete(t.byHash, c.reportHash)
+		return
+	}
+	isCustomer := func(other *customer) bool { return other == c }
+	left := slices.DeleteFunc(t.sharing[c.reportHash], isCustomer)
+	t.sharing[c.reportHash] = left
+	if len(left) > 1 {
+		return
+	}
+	delete(t.sharing, c.reportHash)
+	t.byHash[c.reportHash] = left[0]
+	left[0].sharesHash = false
+	for _, view := range left[0].peerViews {
+		view.hasReport = false // the total that was reported may be that of another customer
 	}
+}
+
+// unlink removes a customer from byHash and its views from their peers.
+func (t *customerTable) unlink(c *customer) {
+	t.removeHash(c)
 	for _, view := range c.peerViews {
 		isView := func(other *peerView) bool { return other == view }
 		view.peer.customerViews = slices.DeleteFunc(view.peer.customerViews, isView)
--- a/policy/customer_test.go
+++ b/policy/customer_test.go
@@ -34,3 +34,52 @@
 		t.Errorf("short %#x, want %#x", short, want)
 	}
 }
+
+// Customers that share a report hash do not pass their quota many times for it, and the one that is left when
+// the other is forgotten is reported again.
+func TestCustomersThatShareAReportHash(t *testing.T) {
+	first, second := collidingCustomers()
+	f := newGatewayFleet(t, 3, testServers(20))
+	next := RequestID(0)
+	load := func(customers ...string) func(time.Duration) {
+		return func(at time.Duration) {
+			for i := range f.gateways {
+				for _, customer := range customers {
+					next++
+					f.request(i, next, customer, "rate", "safe", 3)
+				}
+				if at%(40*ms) == 0 {
+					f.handle(i, TimerFired{Token: tickTimer})
+				}
+			}
+		}
+	}
+	f.advance(20*time.Second, load(first, second))
+	if admitted, quotas := len(f.sends), 2*(10+10*20); admitted > quotas*3/2 {
+		t.Errorf("%d units admitted of two quotas of %d", admitted, quotas/2)
+	}
+	f.advance(11*time.Minute, func(at time.Duration) {
+		if at%(10*time.Second) == 0 {
+			load(first)(at)
+		}
+	})
+	for i, g := range f.gateways {
+		c := g.customers.byHash[customerReportHash(customerKey(first))]
+		if c == nil || c.key != customerKey(first) || len(g.customers.byKey) != 1 || len(g.customers.sharing) != 0 {
+			t.Errorf("gateway %d: %d customers known, the first one is named: %v", i, len(g.customers.byKey), c != nil)
+		}
+	}
+}
+
+// collidingCustomers returns two names with one report hash.
+func collidingCustomers() (first, second string) {
+	names := map[uint32]string{}
+	for i := 0; ; i++ {
+		name := fmt.Sprint("customer ", i)
+		hash := customerReportHash(customerKey(name))
+		if names[hash] != "" {
+			return names[hash], name
+		}
+		names[hash] = name
+	}
+}
--- a/policy/load_report.go
+++ b/policy/load_report.go
@@ -138,9 +138,11 @@
 	return ranked
 }
 
-// hasChanges reports whether the customer must be reported to peers.
+// hasChanges reports whether the customer must be reported to peers. One that shares its hash with another
+// is not: the two would be taken for one.
 func (c *customer) hasChanges() bool {
-	return len(c.peerViews) > 0 && (c.isBusy() || c.pendingReports > 0 || c.hasUncountedUnits())
+	hasNews := c.isBusy() || c.pendingReports > 0 || c.hasUncountedUnits()
+	return len(c.peerViews) > 0 && !c.sharesHash && hasNews
 }
 
 // reportPriority ranks a customer in reports: queued requests and units not reported yet, as a share of
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -87,7 +87,7 @@
 	}
 	stale := 0.0
 	for _, view := range c.peerViews {
-		if g.isStale(view.peer) {
+		if g.isUnheard(c, view) {
 			stale += g.peerDemand(c, view)
 		}
 	}
@@ -99,6 +99,12 @@
 	return !p.hasReport || g.now-p.reportedAt > staleReportTicks*g.tick.interval
 }
 
+// isUnheard reports whether a peer's reports cannot be used for a customer: the last one is too old, or they
+// cannot name the customer.
+func (g *Gateway) isUnheard(c *customer, view *peerView) bool {
+	return c.sharesHash || g.isStale(view.peer)
+}
+
 // baselineDemand is the demand in units a second that each gateway is assumed to have.
 func (g *Gateway) baselineDemand(c *customer) float64 {
 	return baselineDemandRateShare*c.plan.Rate + baselineDemandUnits
@@ -114,7 +120,7 @@
 // and still serve the customer, or have stopped. Without peer messages the factor stays 1.
 func (g *Gateway) peerDemand(c *customer, view *peerView) float64 {
 	demand := view.demand
-	if g.isStale(view.peer) {
+	if g.isUnheard(c, view) {
 		fading := 1.0
 		if g.settings.CanMessagePeers {
 			lastReportAt := max(view.peer.reportedAt, g.startedAt)
@@ -265,6 +271,6 @@
 // hearsNoPeerOf reports whether other gateways keep the customer's buckets, too, and the load reports of all
 // of them are stale.
 func (g *Gateway) hearsNoPeerOf(c *customer) bool {
-	isFresh := func(view *peerView) bool { return !g.isStale(view.peer) }
+	isFresh := func(view *peerView) bool { return !g.isUnheard(c, view) }
 	return len(c.peerViews) > 0 && !slices.ContainsFunc(c.peerViews, isFresh)
 }
