Policy: the fill of a bucket below one unit arrives as it was sent

What callers saw: in leader mode a customer with a burst below one unit was held to have less left than it had, at gateways that ask a leader. Cause: fillByte encoded a share of one unit, decodeFill reads a share of the burst. Evidence: TestFillOfASmallBucketArrives, new: before, half of a bucket of 0.25 arrived as 0.031 (of 0.125). Change: the share is of the burst. Bursts of a unit and more keep their bytes; a fill of an older leader is read as before.

--- a/policy/lease_grant.go
+++ b/policy/lease_grant.go
@@ -86,9 +86,13 @@
 	return min(1, c.plan.Rate*demandWindow.Seconds()/max(c.demand, 1))
 }
 
-// fillByte is the fill of the bucket as lease messages carry it. For a Burst below 1 the byte is a share of
-// one unit, but the receiver decodes it as a share of Burst and so takes the bucket for emptier than it is.
-func (c *customer) fillByte() byte { return encodeFill(c.tokens, max(1, c.plan.Burst)) }
+// fillByte is the fill of the bucket as lease messages carry it. Without a rate quota it means nothing.
+func (c *customer) fillByte() byte {
+	if c.plan.Burst == 0 {
+		return encodeFill(c.tokens, 1)
+	}
+	return encodeFill(c.tokens, c.plan.Burst)
+}
 
 // handleLeaseReturn ends a lease, and refunds the units of one that was never used.
 func (g *Gateway) handleLeaseReturn(from int, m leaseReturn) {
--- a/policy/lease_test.go
+++ b/policy/lease_test.go
@@ -164,3 +164,17 @@
 		})
 	}
 }
+
+// The fill of a bucket arrives as it was sent, also where the bucket holds less than a unit.
+func TestFillOfASmallBucketArrives(t *testing.T) {
+	for _, burst := range []float64{0.25, 0.9, 1, 20} {
+		c := &customer{plan: &customerPlan{Plan: Plan{Rate: 1, Burst: burst}}, tokens: burst / 2}
+		if got := decodeFill(c.fillByte(), burst); got < 0.49*burst || got > 0.51*burst {
+			t.Errorf("a bucket of %v that holds half of it is taken to hold %v", burst, got)
+		}
+	}
+	none := &customer{plan: &customerPlan{}}
+	if got := none.fillByte(); got != 0 {
+		t.Errorf("fill %v without a rate quota", got)
+	}
+}
