Storage: the check of a damaged database ends behind its first error

What was seen: nothing by callers; a goroutine of bbolt's check waited for good after the first error of a damaged file. Cause: load stopped receiving at the first error, and the check sends each of them unbuffered. Evidence: TestCheckWithManyErrorsEnds, new, on a channel that sends three errors. Change: the errors behind the first are received, too.

--- a/storage/open.go
+++ b/storage/open.go
@@ -146,12 +146,23 @@
 	if err := checkMeta(meta, node); err != nil {
 		return nil, err
 	}
-	for err := range tx.Check() {
+	if err := firstError(tx.Check()); err != nil {
 		return nil, damaged(err)
 	}
 	return readEntries(tx)
 }
 
+// firstError returns the first error of a channel, or nil. It receives the others, too: whoever sends
+// them waits for that.
+func firstError(errs <-chan error) (first error) {
+	for err := range errs {
+		if first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
 // checkMeta checks that a database is of this format and node.
 func checkMeta(meta *bbolt.Bucket, node int) error {
 	if version := parseUint64(meta.Get(formatKey)); version != formatVersion {
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"go.etcd.io/bbolt"
 
@@ -221,3 +222,23 @@
 		closeOrFail(t, s)
 	}
 }
+
+// The check of a damaged database ends, however many errors it finds.
+func TestCheckWithManyErrorsEnds(t *testing.T) {
+	errs, ended := make(chan error), make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer close(errs)
+		for i := range 3 {
+			errs <- fmt.Errorf("error %d", i)
+		}
+	}()
+	if err := firstError(errs); err == nil || err.Error() != "error 0" {
+		t.Errorf("%v", err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the check waits for good")
+	}
+}
