Gateway: a node whose first endpoint list comes late enters phase serving

What operators saw: with EDS, a node whose first list came after its listeners had opened stayed ready in its log and its announcements, though it served. Cause: StartServing has no effect before the node is ready, and nobody called it again. Evidence: TestNodeServesOnceItsFirstEndpointsCome, new: before, the node is ready. Change: once the listeners are open, each endpoint list is followed by StartServing.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -52,4 +52,7 @@
 	}
 	g.node.UpdateEndpoints(kind, list)
 	g.changePhase((*membership.StateMachine).EndpointsReady)
+	if g.accepting.Load() { // the first list came late: the node was not ready when it began to accept
+		g.changePhase((*membership.StateMachine).StartServing)
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,8 +68,9 @@
 	serving   sync.WaitGroup // of the listeners' goroutines
 	// closes are called in reverse order: what was opened last is closed first, so that each part
 	// can use the earlier ones until it has ended.
-	closes background.Closers
-	killed atomic.Bool // nothing may be saved any more
+	closes    background.Closers
+	killed    atomic.Bool // nothing may be saved any more
+	accepting atomic.Bool // the listeners are open
 }
 
 // Start starts a gateway and returns without waiting for peers or for an endpoint list. An error
--- a/gateway/membership_test.go
+++ b/gateway/membership_test.go
@@ -10,6 +10,7 @@
 
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/membership"
+	"yardcleat.example/yardcleat/policy"
 )
 
 // withRosterGateway runs a test with a gateway of a fleet with a roster, whose peers do not exist.
@@ -47,12 +48,7 @@
 		g.changePhase((*membership.StateMachine).StartDraining)
 		close(busy)
 		time.Sleep(time.Second)
-		phase := make(chan membership.Phase, 1)
-		g.membership.submit(func() []membership.Action {
-			phase <- g.membership.machine.Phase()
-			return nil
-		})
-		if got := <-phase; got != membership.Draining {
+		if got := membershipPhase(g); got != membership.Draining {
 			t.Errorf("the node is %v", got)
 		}
 	})
@@ -74,3 +70,24 @@
 		}
 	})
 }
+
+// membershipPhase asks the membership loop for the node's phase.
+func membershipPhase(g *Gateway) membership.Phase {
+	phase := make(chan membership.Phase, 1)
+	g.membership.submit(func() []membership.Action {
+		phase <- g.membership.machine.Phase()
+		return nil
+	})
+	return <-phase
+}
+
+// A node whose first endpoint list comes after its listeners have opened serves from then on.
+func TestNodeServesOnceItsFirstEndpointsCome(t *testing.T) {
+	withRosterGateway(t, func(g *Gateway, _ *bytes.Buffer) {
+		g.updateEndpoints(policy.SnapshotUpdate, nil)
+		time.Sleep(time.Second)
+		if got := membershipPhase(g); got != membership.Serving {
+			t.Errorf("the node is %v", got)
+		}
+	})
+}
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -48,6 +48,7 @@
 	if err := g.startListeners(intake.New(g.cfg)); err != nil {
 		return err
 	}
+	g.accepting.Store(true)
 	g.changePhase((*membership.StateMachine).StartServing)
 	return nil
 }
