Node: the log line of a pause has the length of the pause

What operators saw: `process was paused` with a duration of microseconds, where the loop had slept through the pause and read the clock as it woke. Cause: the duration was the time since the loop's last look at the clock. Evidence: TestPauseIsLoggedWithItsLength, new: before, duration=0s for a pause of 3 s. Change: the duration is the time in which the process did not run, by the clock that found the pause, and at least that since the loop's last look.

--- a/node/loop.go
+++ b/node/loop.go
@@ -83,21 +83,26 @@
 }
 
 // detectPause reads the clock and raises the barrier where the process was paused, or
-// where the loop alone did not read the clock for too long. The logged duration is the
-// time since the loop last read the clock, which is not the length of the pause: it may
-// be microseconds where the clock was read between the pause and this call.
+// where the loop alone did not read the clock for too long.
 func (n *Node) detectPause() {
 	now := n.options.Clock.Now()
 	pauses := n.options.Clock.Pauses()
 	sinceLastLook := now - n.now
 	if pauses != n.pausesSeen || sinceLastLook > n.options.Pause.MinPause {
-		n.options.Logger.Warn("process was paused; reading sockets before handling requests", "duration", sinceLastLook)
+		n.options.Logger.Warn("process was paused; reading sockets before handling requests",
+			"duration", max(sinceLastLook, n.pausedTimeSince(n.pauseCheckedAt, now)))
 		n.pausesSeen = pauses
 		n.barrier.Raise(now)
 	}
+	n.pauseCheckedAt = now
 	n.now = max(n.now, now)
 }
 
+// pausedTimeSince is how long the process was paused between two times.
+func (n *Node) pausedTimeSince(from, to time.Duration) time.Duration {
+	return to - from - n.options.Clock.ActiveTime(from, to)
+}
+
 // expireTimers fires the timers that are due. They go before the events of a turn, so
 // that no work is done for requests that are too late.
 func (n *Node) expireTimers() {
--- a/node/node.go
+++ b/node/node.go
@@ -34,9 +34,10 @@
 	now        time.Duration // since the time origin, as of the last look at the clock
 	timerWheel timers.Wheel
 
-	pausesSeen int64         // number of pauses of the process that the loop has handled
-	barrier    pause.Barrier // raised after a pause, until the sockets are read
-	deferred   []event       // waits for the barrier to be lifted
+	pausesSeen     int64         // number of pauses of the process that the loop has handled
+	pauseCheckedAt time.Duration // when the loop last looked for one
+	barrier        pause.Barrier // raised after a pause, until the sockets are read
+	deferred       []event       // waits for the barrier to be lifted
 
 	requests  map[policy.RequestID]*pendingRequest // without those that are answered and done
 	lastID    policy.RequestID                     // of the request begun last
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +170,33 @@
 		t.Errorf("%+v", final)
 	}
 }
+
+// pausedClock is the clock of a process that was paused for a while, which somebody noticed before the loop.
+type pausedClock struct {
+	now, paused time.Duration
+	pauses      int64
+}
+
+func (c *pausedClock) Now() time.Duration { return c.now }
+
+func (c *pausedClock) Pauses() int64 { return c.pauses }
+
+func (c *pausedClock) ActiveTime(from, to time.Duration) time.Duration { return to - from - c.paused }
+
+func (*pausedClock) UnreadSockets() int { return 0 }
+
+// The log line of a pause has its length, also where the loop slept through it.
+func TestPauseIsLoggedWithItsLength(t *testing.T) {
+	n := newNode(t, nil)
+	var log bytes.Buffer
+	n.options.Logger = slog.New(slog.NewTextHandler(&log, nil))
+	clock := &pausedClock{now: time.Second}
+	n.options.Clock = clock
+	n.detectPause()
+	clock.now, clock.paused, clock.pauses = 10*time.Second, 3*time.Second, 1
+	n.refreshTime()
+	n.detectPause()
+	if !strings.Contains(log.String(), "duration=3s") {
+		t.Errorf("logged %s", &log)
+	}
+}
