Node: the counter's responses go before the timers that a pause let expire

What was seen: after a pause of the process, responses of the counter that had come meanwhile were handled behind the timers that had expired. Cause: they were function calls, which package pause orders last but for new requests. Evidence: TestResponseDuringPauseGoesBeforeTimers, new: with Do, as before, the order is timer, response (TestExpiredTimersGoBeforeFunctionCalls holds that for Do). Change: DoWithResponse, ordered as the results of other calls; the usage recorder uses it.

--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -182,7 +182,7 @@
 // call makes a call to the counter; its response is handled in the loop.
 func (r *usageRecorder) call(call usage.CounterCall) {
 	r.client.Do(call, func(response usage.CounterResponse) {
-		r.gateway.node.Do(func() {
+		r.gateway.node.DoWithResponse(func() {
 			r.perform(r.tracker.HandleResponse(r.gateway.options.WallClock(), call.ID, response))
 		})
 	})
--- a/node/events.go
+++ b/node/events.go
@@ -58,6 +58,9 @@
 // functionCall is a function to be called in the loop.
 type functionCall struct{ function func() }
 
+// responseCall is a function to be called in the loop with the response of an external service.
+type responseCall struct{ function func() }
+
 func (requestSubmitted) pauseKind() pause.EventKind       { return pause.RequestArrived }
 func (clientDisconnected) pauseKind() pause.EventKind     { return pause.ClientDisconnected }
 func (peerMessageReceived) pauseKind() pause.EventKind    { return pause.PeerMessage }
@@ -67,6 +70,7 @@
 func (checkFinished) pauseKind() pause.EventKind          { return pause.CallFinished }
 func (requestsAborted) pauseKind() pause.EventKind        { return pause.OtherEvent }
 func (functionCall) pauseKind() pause.EventKind           { return pause.OtherEvent }
+func (responseCall) pauseKind() pause.EventKind           { return pause.CallFinished }
 
 // handle carries out one event. It is called in the loop.
 func (n *Node) handle(e event) {
@@ -89,6 +93,8 @@
 		n.abortRequests()
 	case functionCall:
 		e.function()
+	case responseCall:
+		e.function()
 	}
 }
 
@@ -126,6 +132,10 @@
 // be called from any goroutine; f must not block.
 func (n *Node) Do(f func()) { n.enqueue(functionCall{f}) }
 
+// DoWithResponse calls f in the loop as Do does. After a pause of the process it goes before the
+// timers that expired meanwhile, as other responses that came from outside.
+func (n *Node) DoWithResponse(f func()) { n.enqueue(responseCall{f}) }
+
 // InjectPolicyPanic makes the policy panic at its next event; for tests.
 func (n *Node) InjectPolicyPanic() {
 	n.Do(func() {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -200,3 +200,18 @@
 		t.Errorf("logged %s", &log)
 	}
 }
+
+// The response of an external service that came during a pause goes before the timers that expired meanwhile.
+func TestResponseDuringPauseGoesBeforeTimers(t *testing.T) {
+	n := newNode(t, nil)
+	n.refreshTime()
+	var order []string
+	n.timerWheel.Add(n.now, func() { order = append(order, "timer") })
+	n.DoWithResponse(func() { order = append(order, "response") })
+	n.deferred = n.takeQueue(nil)
+	n.now += 10 * time.Millisecond
+	n.handleDeferred()
+	if !slices.Equal(order, []string{"response", "timer"}) {
+		t.Errorf("order %v", order)
+	}
+}
