Policy: without messages to peers idle customers are forgotten

What was seen: at a gateway without peers' messages no customer was forgotten, 1 kB for each that came once. Cause: a request marks its customer for three load reports; where none goes out the mark stayed, and the customer counted as in use. Evidence: TestIdleCustomersAreForgottenWithoutMessages, new: before, the customer stays. Change: changes to report keep a customer only where there are reports.

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -192,15 +192,15 @@
 }
 
 // updateActive ends the tick of the active customers, and removes those with nothing in flight, queued or
-// to be reported from the list.
-func (t *customerTable) updateActive(now, elapsed time.Duration) {
+// to be reported from the list. Without messages to peers nothing is to be reported.
+func (t *customerTable) updateActive(now, elapsed time.Duration, canReport bool) {
 	kept := t.active[:0]
 	for _, c := range t.active {
 		if !c.inFlight.isZero() {
 			c.expireLeases(now)
 			c.inFlight.endTick(now, elapsed)
 		}
-		c.active = c.isBusy() || c.hasChanges()
+		c.active = c.isBusy() || canReport && c.hasChanges()
 		if c.active {
 			kept = append(kept, c)
 		}
--- a/policy/customer_test.go
+++ b/policy/customer_test.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// Without messages to peers idle customers are forgotten, too.
+func TestIdleCustomersAreForgottenWithoutMessages(t *testing.T) {
+	s := baseSettings()
+	s.CanMessagePeers = false
+	w := newHarness(t, s, testServers(2))
+	w.admitUnits(1, "rate")
+	w.advance(11 * time.Minute)
+	if n := len(w.g.customers.byKey); n != 0 {
+		t.Errorf("%d customers known", n)
+	}
+}
+
 // Customers are named by the same hashes at all gateways, of whatever build.
 func TestCustomerHashesAreGolden(t *testing.T) {
 	key := customerKey("bibl-a")
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -173,7 +173,7 @@
 			g.publishOutlierReport(s)
 		}
 	}
-	g.customers.updateActive(g.now, elapsed)
+	g.customers.updateActive(g.now, elapsed, g.settings.CanMessagePeers)
 	for _, c := range slices.Clone(g.customers.queued) {
 		g.serveQueue(c)
 	}
