Policy: customers are remembered until their buckets are full again

What callers saw: a customer whose bucket takes longer than 10 minutes to fill was forgotten before it was full and came back with a full one: a rate quota or a hard ceiling passed its burst again after a pause of 10 minutes. Cause: forgetIdle went by the time since the last request alone. Evidence: TestCustomersWithSlowBucketsAreRemembered, new: before, 20 units of a burst of 20 that fills in 33 minutes, and 20 more 15 minutes later, for both kinds; now at most 10. Change: a customer is kept for 10 minutes or the time that its buckets take to fill, if that is longer.

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -78,6 +79,18 @@
 	return p.Rate
 }
 
+// fillTime is the time in which empty buckets fill up.
+func (p *Plan) fillTime() time.Duration {
+	seconds := 0.0
+	if p.Rate > 0 {
+		seconds = p.Burst / p.Rate
+	}
+	if p.HardRate > 0 {
+		seconds = max(seconds, p.HardBurst/p.HardRate)
+	}
+	return time.Duration(min(seconds*float64(time.Second), math.MaxInt64/2))
+}
+
 // customerKey is the FNV-1a hash of a customer's name. All gateways must compute the same.
 func customerKey(name string) uint64 {
 	const offset, prime = 14695981039346656037, 1099511628211
@@ -118,11 +131,12 @@
 	t.ring = append(t.ring, c)
 }
 
-// forgetIdle removes the customers that are not in use and have made no request since a time.
-func (t *customerTable) forgetIdle(since time.Duration) {
+// forgetIdle removes the customers that are not in use, and have made no request for long enough that their
+// buckets are full again.
+func (t *customerTable) forgetIdle(now time.Duration) {
 	t.ring = slices.DeleteFunc(t.ring, func(c *customer) bool {
 		inUse := c.inFlight.count > 0 || len(c.queued) > 0 || c.active
-		if inUse || c.lastRequestAt >= since {
+		if inUse || now-c.lastRequestAt <= max(customerIdleTimeout, c.plan.fillTime()) {
 			return false
 		}
 		t.unlink(c)
--- a/policy/customer_test.go
+++ b/policy/customer_test.go
@@ -36,6 +36,31 @@
 	}
 }
 
+// A customer whose buckets take long to fill is remembered until they are full: a pause does not give it another
+// bucket at once.
+func TestCustomersWithSlowBucketsAreRemembered(t *testing.T) {
+	for _, plan := range []Plan{
+		{Name: "slow", Rate: 0.01, Burst: 20},
+		{Name: "slow", HardRate: 0.01, HardBurst: 20},
+	} {
+		s := baseSettings()
+		s.Gateways = 1
+		s.Plans = append(s.Plans, plan)
+		w := newHarness(t, s, testServers(8))
+		w.advance(time.Hour) // a share of a ceiling starts empty
+		first := w.admitUnits(30, "slow")
+		w.advance(15 * time.Minute)
+		again := w.admitUnits(30, "slow")
+		if first < 19 || first > 21 || again > 10 {
+			t.Errorf("%+v: %d admitted, and %d a quarter of an hour later", plan, first, again)
+		}
+		w.advance(time.Hour)
+		if n := len(w.g.customers.byKey); n != 0 {
+			t.Errorf("%+v: %d customers are left once the bucket is full", plan, n)
+		}
+	}
+}
+
 // Customers are named by the same hashes at all gateways, of whatever build.
 func TestCustomerHashesAreGolden(t *testing.T) {
 	key := customerKey("bibl-a")
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// customerIdleTimeout is how long the state of a customer without requests is retained.
+	// customerIdleTimeout is how long the state of a customer without requests is retained at least.
 	customerIdleTimeout = 10 * time.Minute
 
 	// seedStream is the second half of the random generator's seed.
@@ -161,7 +161,7 @@
 	g.do(SetTimer{Token: tickTimer, After: g.tick.interval})
 	if g.tick.everySecond() {
 		g.requestEndpoints()
-		g.customers.forgetIdle(g.now - customerIdleTimeout)
+		g.customers.forgetIdle(g.now)
 	}
 	g.decayWarmSendRate(elapsed)
 	g.sumPeerLoads()
