Benchmarks: a response that is not 200 is reported with its reason

Cause: BenchmarkProxying got 503 at 1,000 connections in 3 or 4 of 60 runs, and the error said the status alone, which cannot tell load shedding from a pause of the process. Change: the error has the reason that the gateway gave. No assertion changed.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -199,7 +199,7 @@
 				_, err = r.Body(res.Framing, res.Length)
 			}
 			if err == nil && res.Status != 200 {
-				err = fmt.Errorf("status %d", res.Status)
+				err = fmt.Errorf("status %d, reason %q", res.Status, res.Header.Get("X-Yardcleat-Reason"))
 			}
 			return err
 		}, func() { mustClose(b, c) }, nil
