--- a/cmd/yardcleat/hunt.go
+++ b/cmd/yardcleat/hunt.go
@@ -176,7 +176,7 @@
 		for i, r := range results {
 			played++
 			o, words := outcome(r)
-			hunter.Tell(days[i], o)
+			hunter.Learn(days[i], o)
 			if len(o.Broken) == 0 {
 				continue
 			}
@@ -235,7 +235,7 @@
 		if broke {
 			words = cw
 		}
-		s.Tell(broke)
+		s.Report(broke)
 	}
 	best := s.Best()
 	h.say("  shrunk: %s\n  %s", best.Words(), strings.Join(words, "\n  "))
--- a/edgenode/edge.go
+++ b/edgenode/edge.go
@@ -114,16 +114,16 @@
 
 func (e *Edge) startPool(cfg *Config, limits resourceLimits, paused func(since time.Time) bool) {
 	e.pool = upstream.New(upstream.Options{
-		Network:     e.network,
-		ConnectTime: cfg.DialTimeout,
-		Idle:        limits.maxServerConnections,
-		Most:        limits.maxServerConnections,
-		IdleTime:    time.Duration(serverIdleFraction * float64(cfg.ServerIdleTimeout)),
-		Patience:    protocol.HeaderClientTimeout,
-		Limits:      messageLimits(limits.maxResponseBody),
-		Held:        limits.maxBufferedResponses,
-		TurnedAway:  upstream.TurnedAway{Status: 503, Also: 504, Header: protocol.HeaderRejection, Only: 200},
-		Stood:       paused,
+		Network:        e.network,
+		ConnectTime:    cfg.DialTimeout,
+		Idle:           limits.maxServerConnections,
+		MaxConnections: limits.maxServerConnections,
+		IdleTime:       time.Duration(serverIdleFraction * float64(cfg.ServerIdleTimeout)),
+		Patience:       protocol.HeaderClientTimeout,
+		Limits:         messageLimits(limits.maxResponseBody),
+		Held:           limits.maxBufferedResponses,
+		TurnedAway:     upstream.TurnedAway{Status: 503, Also: 504, Header: protocol.HeaderRejection, Only: 200},
+		PausedSince:    paused,
 	})
 	e.closers.Add(e.pool.Close)
 }
@@ -139,7 +139,7 @@
 		if err != nil {
 			return err
 		}
-		options.SendToPeer = transport.Tell
+		options.SendToPeer = transport.Send
 		options.SendToAllPeers = true
 	}
 	if e.node, err = node.New(options); err != nil {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -202,7 +202,7 @@
 				l.transport.Reach(a.Number, a.Address)
 			}
 		case membership.SendAnnouncement:
-			l.transport.Tell(a.To, encodeAnnouncement(a.Announcement))
+			l.transport.Send(a.To, encodeAnnouncement(a.Announcement))
 		case membership.PhaseChanged:
 			l.gateway.options.Log.Info("membership phase changed", "phase", a.Phase.String())
 		case membership.OperatorNote:
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -87,7 +87,7 @@
 		Limits:      g.messageLimits(g.cfg.Limits.MaxResponseBody),
 		TurnedAway:  g.rejectionSignal(),
 		HTTP2:       g.cfg.Servers.HTTP2,
-		Stood:       clock.PausedSince,
+		PausedSince: clock.PausedSince,
 	})
 	g.closes.Add(pool.Close)
 	if g.options.WrapUpstream != nil {
@@ -197,7 +197,7 @@
 		return err
 	}
 	g.closes.Add(transport.Close)
-	options.SendToPeer = transport.Tell
+	options.SendToPeer = transport.Send
 	if g.membership != nil {
 		g.membership.transport = transport
 	}
--- a/lab/hunt/hunt.go
+++ b/lab/hunt/hunt.go
@@ -65,9 +65,9 @@
 
 const mostCorpus = 200
 
-// Tell takes in what came of a day, and returns how much of it was new: features,
+// Learn takes in what came of a day, and returns how much of it was new: features,
 // pairs of them, and steps nearer to a rule's edge.
-func (h *Hunter) Tell(d Day, o Outcome) (news int) {
+func (h *Hunter) Learn(d Day, o Outcome) (news int) {
 	score := 0.0
 	note := func(f string) {
 		if h.seen[f]++; h.seen[f] == 1 {
--- a/lab/hunt/hunt_test.go
+++ b/lab/hunt/hunt_test.go
@@ -24,7 +24,7 @@
 	for range n {
 		d := h.Next()
 		days = append(days, d)
-		h.Tell(d, Outcome{Features: []string{d.Script.Faults[0].Kind}, Near: []audit.Margin{{Rule: 1, Near: float64(len(d.Script.Faults)) / 20}}})
+		h.Learn(d, Outcome{Features: []string{d.Script.Faults[0].Kind}, Near: []audit.Margin{{Rule: 1, Near: float64(len(d.Script.Faults)) / 20}}})
 	}
 	return days
 }
@@ -103,7 +103,7 @@
 			if !ok {
 				break
 			}
-			s.Tell(breaks(c))
+			s.Report(breaks(c))
 		}
 		if best := s.Best(); !breaks(best) || len(best.Script.Faults) != 2 || best.Script.Nodes != 2 {
 			t.Errorf("%s and %s: %s", a, b, best.Words())
@@ -126,7 +126,7 @@
 			if got == 4 {
 				return n
 			}
-			h.Tell(d, Outcome{Near: []audit.Margin{{Rule: 2, Near: float64(got) / 4}}})
+			h.Learn(d, Outcome{Near: []audit.Margin{{Rule: 2, Near: float64(got) / 4}}})
 		}
 		return 1500
 	}
--- a/lab/hunt/shrink.go
+++ b/lab/hunt/shrink.go
@@ -9,7 +9,7 @@
 )
 
 // Shrinker makes a day that breaks a rule smaller as long as it still does. Ask
-// Next for a day, play it, and Tell whether it broke the rule, until Next has no
+// Next for a day, play it, and Report whether it broke the rule, until Next has no
 // more.
 type Shrinker struct {
 	best  Day
@@ -116,8 +116,8 @@
 	return Day{}, false
 }
 
-// Tell says whether the day that Next gave still broke the rule.
-func (s *Shrinker) Tell(broke bool) {
+// Report says whether the day that Next gave still broke the rule.
+func (s *Shrinker) Report(broke bool) {
 	if broke {
 		s.best = s.cand
 	}
--- a/peer/bare.go
+++ b/peer/bare.go
@@ -61,9 +61,9 @@
 	return b, nil
 }
 
-// Tell sends a message to a node, or to all with a number below 0, or loses it; it
+// Send sends a message to a node, or to all with a number below 0, or loses it; it
 // does not block.
-func (b *Bare) Tell(to int, data []byte) {
+func (b *Bare) Send(to int, data []byte) {
 	if len(data) > MaxBare || to >= len(b.to) || to == b.o.Me {
 		return
 	}
--- a/peer/bare_test.go
+++ b/peer/bare_test.go
@@ -36,12 +36,12 @@
 			t.Fatal(err)
 		}
 		stranger.WriteTo([]byte("hello"), to)
-		nodes[0].Tell(1, []byte("one"))
-		nodes[0].Tell(1, []byte(strings.Repeat("x", MaxBare)))
-		nodes[0].Tell(1, []byte(strings.Repeat("x", MaxBare+1)))
-		nodes[0].Tell(0, []byte("self"))
-		nodes[0].Tell(7, []byte("nobody"))
-		nodes[2].Tell(-1, []byte("all"))
+		nodes[0].Send(1, []byte("one"))
+		nodes[0].Send(1, []byte(strings.Repeat("x", MaxBare)))
+		nodes[0].Send(1, []byte(strings.Repeat("x", MaxBare+1)))
+		nodes[0].Send(0, []byte("self"))
+		nodes[0].Send(7, []byte("nobody"))
+		nodes[2].Send(-1, []byte("all"))
 		time.Sleep(time.Second)
 		synctest.Wait()
 		slices.Sort(got[1]) // those sent at one time come in any order
--- a/peer/golden_test.go
+++ b/peer/golden_test.go
@@ -55,7 +55,7 @@
 		}
 		defer b.Close()
 		message := []byte{3, 1, 0, 255}
-		b.Tell(1, message)
+		b.Send(1, message)
 		buf := make([]byte, MaxBare)
 		n, from, err := other.ReadFrom(buf)
 		if err != nil || !bytes.Equal(buf[:n], message) {
--- a/peer/guard_test.go
+++ b/peer/guard_test.go
@@ -160,7 +160,7 @@
 		}
 		for range 5 {
 			for _, m := range []*Mail{b1, b2, foreign} {
-				m.Tell(0, []byte("x"))
+				m.Send(0, []byte("x"))
 				time.Sleep(20 * time.Millisecond)
 			}
 		}
@@ -227,8 +227,8 @@
 		tell := func(seconds int) {
 			for range seconds * 10 {
 				for n, m := range all {
-					m.Tell((n+1)%3, []byte("x"))
-					m.Tell((n+2)%3, []byte("x"))
+					m.Send((n+1)%3, []byte("x"))
+					m.Send((n+2)%3, []byte("x"))
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
--- a/peer/mail.go
+++ b/peer/mail.go
@@ -98,8 +98,8 @@
 	m.to[number], m.most = a, max(m.most, number+1)
 }
 
-// Tell sends a message, or loses it; it does not block.
-func (m *Mail) Tell(to int, data []byte) {
+// Send sends a message, or loses it; it does not block.
+func (m *Mail) Send(to int, data []byte) {
 	select {
 	case m.out <- letter{to, data}:
 	default:
--- a/upstream/crossing_test.go
+++ b/upstream/crossing_test.go
@@ -250,7 +250,7 @@
 // blame.
 func TestAttemptWithoutASpareConnection(t *testing.T) {
 	s := listen(t)
-	p := New(Options{Network: network.OS{}, ConnectTime: 10 * time.Second, Idle: 4, Most: 1, Limits: testLimits})
+	p := New(Options{Network: network.OS{}, ConnectTime: 10 * time.Second, Idle: 4, MaxConnections: 1, Limits: testLimits})
 	sending, _ := start(p, s, "/first", 10*time.Second)
 	s.accept()
 	_, ended := start(p, s, "/second", 10*time.Second)
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -84,7 +84,7 @@
 	switch {
 	case over || errors.Is(err, errLate):
 		c.remove(s) // not a byte of it was sent
-		t.end(moot, false)
+		t.end(tooLate, false)
 	case err != nil:
 		c.fail(s, partSent, err)
 	default:
--- a/upstream/stood_test.go
+++ b/upstream/paused_test.go
@@ -38,8 +38,8 @@
 			}()
 			stood := false
 			p := New(Options{Network: m.Host("node"), ConnectTime: time.Second, Idle: 4, HTTP2: protocol2,
-				Limits: http1.Limits{Line: 1000, Fields: 10, Header: 1000, Body: 1000},
-				Stood:  func(time.Time) bool { return stood }})
+				Limits:      http1.Limits{Line: 1000, Fields: 10, Header: 1000, Body: 1000},
+				PausedSince: func(time.Time) bool { return stood }})
 			stood = true
 			ended := make(chan node.Result, 1)
 			p.Start(node.Attempt{Address: "10.0.0.2:80", Timeout: time.Second, DecidedAt: time.Now(),
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -27,14 +27,15 @@
 	ConnectTime time.Duration // to connect to a server
 	Idle        int           // idle connections kept to each server
 	IdleTime    time.Duration // one idle for longer is closed, not used; 0: any time
-	Most        int           // connections at most, over HTTP/1.1; 0: any number
-	Held        int64         // bytes of long bodies being read, all together; 0: any number
-	Patience    string        // field that states an attempt's time-out in ms; "": none
-	TurnedAway  TurnedAway
-	HTTP2       bool // servers speak HTTP/2, by prior knowledge
-	// Stood tells whether the process stood still after a time; nil: it never
-	// does. What was decided before is not sent after.
-	Stood func(since time.Time) bool
+	// MaxConnections bounds the connections over HTTP/1.1; 0: any number.
+	MaxConnections int
+	Held           int64  // bytes of long bodies being read, all together; 0: any number
+	Patience       string // field that states an attempt's time-out in ms; "": none
+	TurnedAway     TurnedAway
+	HTTP2          bool // servers speak HTTP/2, by prior knowledge
+	// PausedSince reports whether the process was paused after a time; nil: it never
+	// is. What was decided before is not sent after.
+	PausedSince func(since time.Time) bool
 }
 
 // Pool keeps connections to servers and makes attempts on them. It is a
@@ -159,8 +160,8 @@
 	var buf []byte
 	for {
 		c, fresh, err := t.connect(ctx)
-		if err == errMost {
-			t.end(full, false)
+		if err == errNoConnection {
+			t.end(noConnection, false)
 			return
 		}
 		if err != nil {
@@ -177,7 +178,7 @@
 		t.c = c
 		t.mu.Unlock()
 		if t.late() {
-			t.end(moot, true)
+			t.end(tooLate, true)
 			t.written()
 			return
 		}
@@ -227,19 +228,19 @@
 	return http1.AppendRequest(b, call.Method, call.Target, call.Host, header, call.Body)
 }
 
-// moot is how an attempt ends that is not sent because too much time has passed,
+// tooLate is how an attempt ends that is not sent because too much time has passed,
 // or the process stood still, since it was decided: its client may have left, and
 // its server drain.
-var moot = node.Result{Code: policy.TooLate, Detail: "too late to send"}
+var tooLate = node.Result{Code: policy.TooLate, Detail: "too late to send"}
 
-// full is how an attempt ends for want of a connection of this node's own; it says
+// noConnection is how an attempt ends for want of a connection of this node's own; it says
 // nothing of the server.
-var full = node.Result{Code: policy.NoConnection, Detail: "no connection to spare"}
+var noConnection = node.Result{Code: policy.NoConnection, Detail: "no connection to spare"}
 
-var errMost = errors.New("upstream: all connections are in use")
+var errNoConnection = errors.New("upstream: all connections are in use")
 
 func (t *attempt) late() bool {
-	return t.Timeout > 0 && time.Since(t.start) >= t.Timeout || t.p.o.Stood != nil && t.p.o.Stood(t.DecidedAt)
+	return t.Timeout > 0 && time.Since(t.start) >= t.Timeout || t.p.o.PausedSince != nil && t.p.o.PausedSince(t.DecidedAt)
 }
 
 // took is how long a response was on its way that a connection has just given.
@@ -260,7 +261,7 @@
 		return c, false, nil
 	}
 	if !t.p.room() {
-		return nil, true, errMost
+		return nil, true, errNoConnection
 	}
 	nc, err := t.p.o.Network.Dial(ctx, t.Address)
 	if err != nil {
@@ -326,7 +327,7 @@
 func (p *Pool) room() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.o.Most > 0 && p.open >= p.o.Most {
+	if p.o.MaxConnections > 0 && p.open >= p.o.MaxConnections {
 		oldest := ""
 		for key, list := range p.idle {
 			if len(list) > 0 && (oldest == "" || list[0].since.Before(p.idle[oldest][0].since)) {
