Gateway tests: the log of a roster's gateway is read after its end

Cause: go test -race ./gateway failed ten of ten: TestMembershipStepWaitsForASlowResize read the log's buffer while the endpoint watch may write it. Change: the bed returns the log once the gateway has ended; the assertion is the same.

--- a/gateway/membership_test.go
+++ b/gateway/membership_test.go
@@ -13,11 +13,12 @@
 	"yardcleat.example/yardcleat/policy"
 )
 
-// withRosterGateway runs a test with a gateway of a fleet with a roster, whose peers do not exist.
-func withRosterGateway(t *testing.T, test func(g *Gateway, log *bytes.Buffer)) {
+// withRosterGateway runs a test with a gateway of a fleet with a roster, whose peers do not exist, and returns what
+// the gateway has logged until its end.
+func withRosterGateway(t *testing.T, test func(g *Gateway)) (logged string) {
 	t.Helper()
+	var log bytes.Buffer
 	synctest.Test(t, func(t *testing.T) {
-		var log bytes.Buffer
 		g, err := Start(parseStateConfig(t, copyStateOfAnEarlierBuild(t)), Options{
 			Network: network.NewMemory(time.Millisecond, 1).Host("node"),
 			Seed:    1,
@@ -27,15 +28,16 @@
 			t.Fatal(err)
 		}
 		time.Sleep(time.Second)
-		test(g, &log)
+		test(g)
 		g.Kill()
 		time.Sleep(time.Minute) // timers of what was closed run out
 	})
+	return log.String()
 }
 
 // A node's own change of phase is not lost behind peers' announcements, which fill the loop's queue.
 func TestPhaseChangeIsNotDroppedBehindAnnouncements(t *testing.T) {
-	withRosterGateway(t, func(g *Gateway, _ *bytes.Buffer) {
+	withRosterGateway(t, func(g *Gateway) {
 		busy := make(chan struct{})
 		g.membership.submit(func() []membership.Action {
 			<-busy
@@ -56,7 +58,7 @@
 
 // A step of membership is carried out whole, also where the node's loop takes long to apply a resize.
 func TestMembershipStepWaitsForASlowResize(t *testing.T) {
-	withRosterGateway(t, func(g *Gateway, log *bytes.Buffer) {
+	logged := withRosterGateway(t, func(g *Gateway) {
 		busy := make(chan struct{})
 		g.node.Do(func() { <-busy })
 		g.membership.submit(func() []membership.Action {
@@ -65,10 +67,10 @@
 		time.Sleep(8 * time.Second)
 		close(busy)
 		time.Sleep(time.Second)
-		if !strings.Contains(log.String(), "after the resize") {
-			t.Error("the rest of the step was dropped")
-		}
 	})
+	if !strings.Contains(logged, "after the resize") {
+		t.Error("the rest of the step was dropped")
+	}
 }
 
 // membershipPhase asks the membership loop for the node's phase.
@@ -83,7 +85,7 @@
 
 // A node whose first endpoint list comes after its listeners have opened serves from then on.
 func TestNodeServesOnceItsFirstEndpointsCome(t *testing.T) {
-	withRosterGateway(t, func(g *Gateway, _ *bytes.Buffer) {
+	withRosterGateway(t, func(g *Gateway) {
 		g.updateEndpoints(policy.SnapshotUpdate, nil)
 		time.Sleep(time.Second)
 		if got := membershipPhase(g); got != membership.Serving {
