--- a/policy/ceiling_test.go
+++ b/policy/ceiling_test.go
@@ -69,14 +69,16 @@
 	}
 }
 
-// restart replaces a gateway by a new process that remembers nothing.
+// restart replaces a gateway by a new process that knows what the snapshot of the one before holds.
 func (f *ceilingFleet) restart(i int) {
 	f.t.Helper()
+	saved, _ := f.gateways[i].SaveSnapshot(f.now, 0, allQueued, nil)
 	g, err := New(f.gateways[i].settings, uint64(f.requested)+1000)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.gateways[i] = g
+	f.handle(i, RestoreSnapshot{Customers: saved})
 	f.handle(i, EndpointUpdate{Kind: CachedUpdate, Servers: testServers(40)})
 }
 
@@ -253,3 +255,15 @@
 		}
 	}
 }
+
+// A leader that restarts again and again, with the snapshot of its rate quotas, grants no more than the ceiling.
+func TestCeilingHoldsOverRestartsWithSnapshots(t *testing.T) {
+	for _, gateways := range []int{3, 60} {
+		f := newCeilingFleet(t, gateways, "hard and rate", 1)
+		for range 10 {
+			f.advance(2*time.Second, f.load)
+			f.restart(f.leader())
+		}
+		f.check(0.3)
+	}
+}
