--- a/policy/lease_test.go
+++ b/policy/lease_test.go
@@ -178,3 +178,19 @@
 		t.Errorf("fill %v without a rate quota", got)
 	}
 }
+
+// A request of more units than a lease request can carry is rejected in leader mode, not counted as less.
+func TestRequestBeyondALeaseIsRejected(t *testing.T) {
+	for units, want := range map[float64]bool{65_535: false, 65_535.5: true, 70_000: true} {
+		f := newCeilingFleet(t, 60, "hard", units)
+		follower := (f.leader() + 1) % 60
+		g := f.gateways[follower]
+		r := g.newLocalRequest(Request{ID: 1, Customer: testCustomer, Plan: "hard", Class: "safe", Units: units, Remaining: time.Second, GatewaySpread: 60})
+		g.actions = nil
+		g.requestLease(r)
+		rejected, asked := actionsOf[Reject](g.actions), actionsOf[SendPeerMessage](g.actions)
+		if isRejected := len(rejected) == 1 && rejected[0].Reason == ReasonQuotaExceeded; isRejected != want || len(asked) > 0 == want {
+			t.Errorf("%v units: %+v", units, g.actions)
+		}
+	}
+}
