Upstream: a pool that is closed takes in no connection whose dial comes up then

What was seen: nothing by callers; the race detector in TestAttemptWithoutASpareConnection, once its repetitions ran under it: Close waited for the readers while a new one was added. That reader outlived the pool. Cause: connection added to the wait group without the pool's lock, and did not ask whether the pool was closed; the HTTP/2 client does both. Evidence: go test -race -count=20 of that test reported the race; after the change it passes 20 times, and the whole package three times under the detector. Change: connection takes the lock, and returns nil once the pool is closed; the connection is closed.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -268,7 +268,12 @@
 		t.p.unroom()
 		return nil, true, err
 	}
-	return t.p.connection(t.key(), nc), true, nil
+	if c = t.p.connection(t.key(), nc); c == nil {
+		nc.Close()
+		t.p.unroom()
+		return nil, true, net.ErrClosed
+	}
+	return c, true, nil
 }
 
 // written notes that the whole request has left. Where the response was quicker
@@ -436,7 +441,14 @@
 	bad  bool     // it has ended
 }
 
+// connection takes in a connection that has come up. It returns nil where the pool was closed meanwhile:
+// Close waits for the readers of those alone that it knows.
 func (p *Pool) connection(key string, nc net.Conn) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
 	c := &conn{p: p, key: key, nc: nc}
 	c.r = http1.NewReader(c, p.o.Limits)
 	p.conns.Add(1)
