Soak: each test talks to its own node and must measure requests; edge logs its address

Change, each check stricter than before: nodes of both test beds listen on port 0 and say their address in their log; a node is ready once it has relayed a response of this test's own servers; request IDs hold the process and the node; a run fails if no request was received, if a server received a request that no client sent, or if the node exits with an error though no request was lost. Draws, bounds and the other checks are as before. A failing run prints the node's log.

For that the edge node writes one line below WARN when it has started, "listening" with its address; serve has had that line before.

--- a/cmd/yardcleat/process_testbed_test.go
+++ b/cmd/yardcleat/process_testbed_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"yardcleat.example/yardcleat/internal/processtest"
 )
 
 // childVariable is the environment variable that makes the test binary run as the program itself.
@@ -43,28 +44,42 @@
 type nodeProcess struct {
 	t       *testing.T
 	edge    bool // runs yardcleat edge, else yardcleat serve
+	number  uint64
 	address string
 	cmd     *exec.Cmd
-	log     bytes.Buffer // may be read only after exited is closed
-	err     error        // of the process; may be read only after exited is closed
+	log     *processtest.Log
+	err     error // of the process; may be read only after exited is closed
 	exited  chan struct{}
 }
 
+// lastNodeNumber is the number of the last node that this process has started.
+var lastNodeNumber atomic.Uint64
+
+// requestID returns the ID of the node's request with a number. No node of this or another running test process
+// is sent the same ID.
+func (p *nodeProcess) requestID(number uint64) string {
+	const nodeBits, requestBits = 18, 24
+	return fmt.Sprintf("%016x", uint64(os.Getpid())<<(nodeBits+requestBits)|p.number<<requestBits|number)
+}
+
+// readinessNumber is the number of the request with which startNode waits until a node is ready.
+const readinessNumber = 0
+
 // startNode starts a node and waits until it is ready.
 func startNode(t *testing.T, edge bool, servers *serverGroup, discovery string) *nodeProcess {
 	t.Helper()
-	p := &nodeProcess{t: t, edge: edge, address: freeAddress(t), exited: make(chan struct{})}
+	p := &nodeProcess{t: t, edge: edge, number: lastNodeNumber.Add(1), log: processtest.NewLog(), exited: make(chan struct{})}
 	path := filepath.Join(t.TempDir(), "config")
-	arguments, text := []string{"serve", "-c", path}, serveConfig(p.address, servers)
+	arguments, text := []string{"serve", "-c", path}, serveConfig(processtest.AnyPort, servers)
 	if edge {
-		arguments, text = []string{"edge"}, edgeConfig(p.address, discovery)
+		arguments, text = []string{"edge"}, edgeConfig(processtest.AnyPort, discovery)
 	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p.cmd = exec.Command(os.Args[0], arguments...)
 	p.cmd.Env = append(os.Environ(), childVariable+"=1", "NODE_CONFIG="+path)
-	p.cmd.Stderr = &p.log
+	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -76,30 +91,34 @@
 		_ = p.cmd.Process.Kill() // fails if the process has exited, as it should have
 		<-p.exited
 	})
+	select {
+	case <-p.log.Listened():
+		p.address = p.log.Address()
+	case <-p.exited:
+		t.Fatalf("the node did not start: %v: %s", p.err, p.log)
+	}
 	p.waitUntilReady()
 	return p
 }
 
-// waitUntilReady waits until the node responds with status 200.
+// waitUntilReady waits until the node responds to a request with the response of one of its servers.
 func (p *nodeProcess) waitUntilReady() {
 	p.t.Helper()
-	probe := "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
-	if !p.edge {
-		probe = requestText(false, classIdempotent, "ready", longestDeadline)
-	}
+	id := p.requestID(readinessNumber)
+	probe := requestText(p.edge, classIdempotent, id, longestDeadline)
 	for range 500 {
 		if conn, err := net.Dial("tcp", p.address); err == nil {
 			client := newClientConn(conn)
 			_, err := io.WriteString(conn, probe)
 			response, readErr := client.read(time.Now().Add(time.Second))
 			_ = conn.Close()
-			if err == nil && readErr == nil && response.status == http.StatusOK {
+			if err == nil && readErr == nil && response.status == http.StatusOK && strings.HasPrefix(response.body, "for "+id) {
 				return
 			}
 		}
 		select {
 		case <-p.exited:
-			p.t.Fatalf("the node exited before it was ready: %v: %s", p.err, &p.log)
+			p.t.Fatalf("the node exited before it was ready: %v: %s", p.err, p.log)
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
@@ -161,7 +180,7 @@
   keys = ["k"]
 }
 limits { connections = 300 }
-log { level = "warn" }
+log { level = "info" }
 servers {
 `, address)
 	for i, s := range servers.servers {
@@ -336,18 +355,3 @@
 	}
 	_, _ = io.WriteString(w, f.endpointList()) // the node may have closed the connection
 }
-
-// freeAddress returns an address on loopback that has no listener.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() {
-		if err := l.Close(); err != nil {
-			t.Error(err)
-		}
-	}()
-	return l.Addr().String()
-}
--- a/cmd/yardcleat/serve_test.go
+++ b/cmd/yardcleat/serve_test.go
@@ -80,7 +80,7 @@
 	}
 	<-node.exited
 	if node.err != nil {
-		t.Errorf("exited with %v: %s", node.err, &node.log)
+		t.Errorf("exited with %v: %s", node.err, node.log)
 	}
 }
 
@@ -96,7 +96,7 @@
 	node.signal(syscall.SIGINT)
 	time.Sleep(100 * time.Millisecond)
 	if node.hasExited() {
-		t.Fatalf("the first interrupt did not wait for the request: %s", &node.log)
+		t.Fatalf("the first interrupt did not wait for the request: %s", node.log)
 	}
 	node.signal(syscall.SIGINT)
 	<-node.exited
--- a/cmd/yardcleat/soak_clients_test.go
+++ b/cmd/yardcleat/soak_clients_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -64,12 +63,12 @@
 	clients         sync.WaitGroup
 	idleConnections sync.WaitGroup // of openIdleConnections
 	mu              sync.Mutex
-	lastID          int
+	lastNumber      uint64                  // of a request
 	requests        map[string]*sentRequest // by id
 }
 
 func newClientPopulation(node *nodeProcess, seed uint64) *clientPopulation {
-	return &clientPopulation{node: node, seed: seed, stopped: make(chan struct{}), requests: map[string]*sentRequest{}}
+	return &clientPopulation{node: node, seed: seed, lastNumber: readinessNumber, stopped: make(chan struct{}), requests: map[string]*sentRequest{}}
 }
 
 // stop ends all clients, after each has received its current response or its connection has ended.
@@ -164,8 +163,8 @@
 func (p *clientPopulation) newRequest(class string) (request *sentRequest, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastID++
-	id = fmt.Sprintf("%016x", p.lastID)
+	p.lastNumber++
+	id = p.node.requestID(p.lastNumber)
 	request = &sentRequest{class: class, sentAt: time.Now()}
 	p.requests[id] = request
 	return request, id
--- a/cmd/yardcleat/soak_test.go
+++ b/cmd/yardcleat/soak_test.go
@@ -133,8 +133,11 @@
 	for _, violation := range report.violations {
 		t.Error(violation)
 	}
-	if !killed && node.err != nil && len(report.violations) > 0 {
-		t.Errorf("the node exited with %v: %s", node.err, &node.log)
+	if !killed && node.err != nil {
+		t.Errorf("the node exited with %v", node.err)
+	}
+	if t.Failed() {
+		t.Logf("log of the node:\n%s", node.log)
 	}
 }
 
@@ -245,11 +248,18 @@
 	clients.mu.Lock()
 	defer clients.mu.Unlock()
 	for id, received := range servers.requests {
-		if sent := clients.requests[id]; sent != nil {
+		sent := clients.requests[id]
+		switch {
+		case sent != nil:
 			r.received++
 			r.checkRequest(id, received, sent)
+		case id != clients.node.requestID(readinessNumber):
+			r.violations = append(r.violations, fmt.Sprintf("servers received request %s, which no client has sent", id))
 		}
 	}
+	if r.received == 0 {
+		r.violations = append(r.violations, "servers received no request")
+	}
 }
 
 // checkRequest adds the violations of one request that servers received.
--- a/edgenode/run.go
+++ b/edgenode/run.go
@@ -28,7 +28,7 @@
 
 // Run runs an edge node with the configuration file that NODE_CONFIG names. SIGTERM, SIGINT or the
 // end of ctx starts the shutdown, and Run returns when that is complete. SIGHUP reloads the file.
-// Warnings and errors are logged to stderr. The error is that of the start, or that of Drain.
+// Warnings and errors are logged to stderr, and the address at which the node listens. The error is that of the start, or that of Drain.
 func Run(ctx context.Context, stderr io.Writer) error {
 	logger := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
 	signals := make(chan os.Signal, maxPendingSignals)
@@ -47,10 +47,16 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	logStart(stderr, edge)
 	p := &process{edge: edge, configPath: path, logger: logger}
 	return p.handleSignals(ctx, signals)
 }
 
+// logStart logs that the node has started. It is the only line below WARN.
+func logStart(stderr io.Writer, edge *Edge) {
+	slog.New(slog.NewTextHandler(stderr, nil)).Info("listening", "address", edge.listener.Addr().String(), "pid", os.Getpid())
+}
+
 // limitRuntime sets the limits of the Go runtime to the resources that the process may use.
 func limitRuntime(l Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
--- a/edgenode/run_test.go
+++ b/edgenode/run_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"yardcleat.example/yardcleat/internal/processtest"
 )
 
 // childVariable is the environment variable that makes the test binary run an edge node.
@@ -60,7 +62,7 @@
 	discoveryAddresses [2]string       // of the two discovery services
 	pollCounts         [2]atomic.Int64 // number of polls that each has received
 	cmd                *exec.Cmd
-	log                *strings.Builder // may be read only after exited has been received from
+	log                *processtest.Log
 	exited             chan error
 }
 
@@ -68,9 +70,9 @@
 func startProcess(t *testing.T, respond func(n int, id string) (string, bool)) *edgeProcess {
 	t.Helper()
 	p := &edgeProcess{
-		testbed:    &testbed{t: t, address: freeAddress(t)},
+		testbed:    &testbed{t: t, address: processtest.AnyPort},
 		configPath: filepath.Join(t.TempDir(), "config.json"),
-		log:        &strings.Builder{},
+		log:        processtest.NewLog(),
 		exited:     make(chan error, 1),
 	}
 	list := p.startServers(respond)
@@ -92,6 +94,12 @@
 	}
 	go func() { p.exited <- p.cmd.Wait() }()
 	t.Cleanup(func() { _ = p.cmd.Process.Kill() }) // fails if the process has exited, as it should have
+	select {
+	case <-p.log.Listened():
+		p.address = p.log.Address()
+	case err := <-p.exited:
+		t.Fatalf("the node did not start: %v: %s", err, p.log)
+	}
 	p.waitFor("readiness", func() bool { return p.exchangeOnLoopback("GET /up HTTP/1.1\r\nHost: h\r\n\r\n") == 200 })
 	return p
 }
--- a/edgenode/testbed_test.go
+++ b/edgenode/testbed_test.go
@@ -281,14 +281,6 @@
 	return l
 }
 
-// freeAddress returns a loopback address at which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l := listenOnLoopback(t)
-	defer mustClose(t, l)
-	return l.Addr().String()
-}
-
 func (s *testbed) closeListeners() {
 	s.t.Helper()
 	for _, l := range s.listeners {
