Soak: an attempt began when it arrived at a server's socket, not when its handler ran

The check "no attempt 0.1 s after its client left" compared the client's close with the time at which the fake server's handler ran, in the test's own busy process.

Change: servers take the arrival time from the kernel's timestamp of the request's last segment, and the time of the read where there is none, which is later. The bound and the lag that it allows for stay.

--- a/cmd/yardcleat/process_testbed_test.go
+++ b/cmd/yardcleat/process_testbed_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,7 +17,10 @@
 	"testing"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pauseclock"
 	"yardcleat.example/yardcleat/internal/processtest"
+	"yardcleat.example/yardcleat/pause"
 )
 
 // childVariable is the environment variable that makes the test binary run as the program itself.
@@ -229,7 +233,7 @@
 // receivedRequest is a request that servers have received.
 type receivedRequest struct {
 	class      string
-	receivedAt []time.Time // once per attempt
+	receivedAt []time.Time // when it arrived at a server's socket, once per attempt
 }
 
 // serverGroup is the servers behind a node and the requests that they have received. It also serves
@@ -263,23 +267,38 @@
 	return f
 }
 
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
 // serveHTTP serves a handler on loopback until the test ends.
 func serveHTTP(t *testing.T, handler http.Handler) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	settings := pause.DefaultSettings()
+	settings.MinPause = time.Hour // a read without a kernel timestamp counts as arriving when it is read
+	clock := pauseclock.New(time.Now(), network.OS{}, settings)
+	l, err := clock.WatchNetwork(network.OS{}).Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
+	}}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
 	t.Cleanup(func() {
 		_ = server.Close() // connections of a killed node may be broken, so errors are expected
 		<-served
+		clock.Close()
 	})
 	return l.Addr().String()
 }
 
+// arrivalTime returns when a request arrived at its server's socket. On a busy machine its handler may run much
+// later.
+func arrivalTime(r *http.Request) time.Time {
+	return pauseclock.ArrivalTime(r.Context().Value(connectionKey{}).(net.Conn))
+}
+
 // ServeHTTP records a request and responds to it.
 func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Correlation-Id") + r.Header.Get("X-Request-Id")
@@ -300,13 +319,13 @@
 	case r.Method == "POST":
 		class = classNonIdempotent
 	}
-	now := time.Now()
+	arrivedAt := arrivalTime(r)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.requests[id] == nil {
 		f.requests[id] = &receivedRequest{class: class}
 	}
-	f.requests[id].receivedAt = append(f.requests[id].receivedAt, now)
+	f.requests[id].receivedAt = append(f.requests[id].receivedAt, arrivedAt)
 }
 
 // endpointList returns the current endpoint list as JSON.
