No attempt for a client whose close has arrived but is not handled yet

Callers: on a node that got little processor time a request was sent to a server up to 0.26 s after its client had closed the connection (0.1 s is allowed), writes among them.

Cause: a close passes through the goroutine that watches the client's connection, the one that serves it and the node's loop before the attempt is withdrawn, while the attempt has a goroutine of its own. Under load the attempt may be written first.

Fix: right before the first byte of a request is written, the attempt asks the operating system whether the client has closed its side (poll with POLLRDHUP, which sees past unread bytes and needs no other goroutine). Over HTTP/2, where one stream may be reset, it first waits up to 5 ms for frames that have arrived. The node ends the request as for the event. POLLRDHUP is Linux's; elsewhere the event decides as before.

TestCloseBehindUnreadBytesIsSeen holds the socket's side.

The mutation removes this defence too, as it removed the withdrawal before, so the rule has to find the same violations as it did.

--- a/day/virtual/mutations.go
+++ b/day/virtual/mutations.go
@@ -22,9 +22,9 @@
 	"patience-not-read": editConfig("clients {", "clients {\n patience_header = \"x-none\""),
 	"stalls-not-seen": func(env *day.VirtualEnvironment) {
 		env.Pause = pauseStrategySettings[PauseStrategies[0]].settings
-		// Withdrawing the unsent attempts of disconnected clients would prevent most of the
-		// violations, so that defence is removed as well.
-		env.WrapUpstream = func(u node.Upstream) node.Upstream { return withdrawalIgnoringUpstream{u} }
+		// Withdrawing the unsent attempts of disconnected clients, and the look at the client's connection
+		// before an attempt is sent, would prevent most of the violations, so those defences are removed as well.
+		env.WrapUpstream = func(u node.Upstream) node.Upstream { return disconnectIgnoringUpstream{u} }
 	},
 	// Rule 2.
 	"keyed-taken-for-safe":  editConfig(`effect = "keyed"`, `effect = "safe"`),
@@ -43,10 +43,13 @@
 	"ceiling-unknown":  editConfig(quotaSettings, "rate = 100\n  burst = 100\n  open = 0"),
 }
 
-// withdrawalIgnoringUpstream sends each attempt even if it is withdrawn.
-type withdrawalIgnoringUpstream struct{ node.Upstream }
+// disconnectIgnoringUpstream sends each attempt even if it is withdrawn or its client has disconnected.
+type disconnectIgnoringUpstream struct{ node.Upstream }
 
-func (u withdrawalIgnoringUpstream) Start(attempt node.Attempt, done func(node.Result)) node.OutgoingAttempt {
+func (u disconnectIgnoringUpstream) Start(attempt node.Attempt, done func(node.Result)) node.OutgoingAttempt {
+	request := *attempt.Request
+	request.Client = nil
+	attempt.Request = &request
 	return withdrawalIgnoringAttempt{u.Upstream.Start(attempt, done)}
 }
 
--- a/edgenode/testbed_test.go
+++ b/edgenode/testbed_test.go
@@ -22,6 +22,7 @@
 type testbed struct {
 	t                 *testing.T
 	network           *network.Memory
+	host              *network.Host // of the node, in virtual time
 	edge              *Edge
 	servers           [2]*fakeServer
 	listeners         []net.Listener
@@ -106,7 +107,8 @@
 		if s.cfg, err = Parse([]byte(configJSON)); err != nil {
 			t.Fatal(err)
 		}
-		s.edge, err = Start(context.Background(), s.cfg, s.network.Host("node"), slog.New(slog.DiscardHandler))
+		s.host = s.network.Host("node")
+		s.edge, err = Start(context.Background(), s.cfg, s.host, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -362,6 +362,7 @@
 func (c *conn) submit(request *node.Request) (final node.FinalResponse) {
 	c.netConn.SetReadDeadline(time.Time{})
 	request.Arrived = c.arrived
+	request.Client = c
 	disconnected := c.server.options.Node.Submit(request, func(final node.FinalResponse) { c.finalResponses <- final })
 	watched := make(chan error, 1)
 	go func() { watched <- c.watchForDisconnect() }()
@@ -379,10 +380,17 @@
 		}
 	}
 	c.pipelineTooLong = errors.Is(err, http1.ErrPipelineTooLong)
-	c.disconnected = !c.pipelineTooLong && !errors.Is(err, os.ErrDeadlineExceeded)
+	ended := !c.pipelineTooLong && !errors.Is(err, os.ErrDeadlineExceeded)
+	c.disconnected = ended || final.Reason == node.ReasonClientDisconnected
 	return final
 }
 
+// AwaitReceived returns at once, because Disconnected needs none of what the client has sent.
+func (c *conn) AwaitReceived() {}
+
+// Disconnected reports whether the client has closed the connection or its sending side.
+func (c *conn) Disconnected() bool { return pauseclock.PeerClosed(c.netConn) }
+
 // watchForDisconnect returns when the client disconnects. Bytes that arrive in the meantime
 // belong to pipelined requests, which stay buffered until the current one is answered.
 func (c *conn) watchForDisconnect() error {
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -154,6 +154,7 @@
 
 // stream is one request.
 type stream struct {
+	conn          *conn
 	id            uint32
 	arrivedAt     time.Time // arrival time of its header
 	request       node.HTTPRequest
@@ -430,7 +431,7 @@
 		}
 		return c.write(func() error { return c.framer.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
 	}
-	st = &stream{id: id, contentLength: -1, abortSignal: make(chan struct{}), arrivedAt: pauseclock.ArrivalTime(c.netConn)}
+	st = &stream{conn: c, id: id, contentLength: -1, abortSignal: make(chan struct{}), arrivedAt: pauseclock.ArrivalTime(c.netConn)}
 	status, detail := c.parseRequest(st, f)
 	if status < 0 {
 		return http2.StreamError{StreamID: id, Code: http2.ErrCodeProtocol}
@@ -708,13 +709,16 @@
 	} else {
 		request.ClientAddress, request.LocalAddress = c.netConn.RemoteAddr().String(), c.netConn.LocalAddr().String()
 		request.Arrived = st.arrivedAt
+		request.Client = st
 		finalResponses := make(chan node.FinalResponse, 1)
 		disconnected := o.Node.Submit(request, func(final node.FinalResponse) { finalResponses <- final })
 		select {
 		case final = <-finalResponses:
 		case <-st.abortSignal:
 			disconnected()
-			<-finalResponses // the node always replies
+			final = <-finalResponses // the node always replies
+		}
+		if st.isAborted() || final.Reason == node.ReasonClientDisconnected {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.removeLocked(st)
@@ -724,6 +728,26 @@
 	c.respond(st, o.Mapper.Render(request, final))
 }
 
+// isAborted reports whether the stream is reset, timed out, or ended with its connection.
+func (s *stream) isAborted() bool {
+	select {
+	case <-s.abortSignal:
+		return true
+	default:
+		return false
+	}
+}
+
+// maxReceiveWait is how long AwaitReceived waits at most. A connection on which more arrives than is handled would
+// hold up its requests for this long.
+const maxReceiveWait = 5 * time.Millisecond
+
+// AwaitReceived waits until the frames that the client has sent by now are handled: one may reset the stream.
+func (s *stream) AwaitReceived() { pauseclock.AwaitRead(s.conn.netConn, maxReceiveWait) }
+
+// Disconnected reports whether the stream is aborted or the client has closed the connection.
+func (s *stream) Disconnected() bool { return s.isAborted() || pauseclock.PeerClosed(s.conn.netConn) }
+
 // reject responds to a request that is not submitted to the node.
 func (c *conn) reject(st *stream, status int, detail string) {
 	c.claim(st)
--- a/internal/network/memory.go
+++ b/internal/network/memory.go
@@ -56,6 +56,22 @@
 	open    map[io.Closer]bool // listeners, connections and packet connections
 	killed  bool
 	resumed chan struct{} // closed by Resume; nil: the host is not paused
+
+	readDelay time.Duration // see SetReadDelay
+}
+
+// SetReadDelay sets how long after their arrival the host's processes read bytes or the end of a connection, as
+// on a machine on which they get little time to run. What was read is not affected.
+func (h *Host) SetReadDelay(delay time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.readDelay = delay
+}
+
+func (h *Host) currentReadDelay() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.readDelay
 }
 
 // Pause makes the host's reads, writes, dials and accepts block until Resume, as in a stopped
@@ -280,7 +296,12 @@
 // notify wakes both ends now, and again after the delay, when what was written arrives.
 func (s *stream) notify() {
 	s.changed.Broadcast()
-	time.AfterFunc(s.delay, func() {
+	s.wakeAfter(s.delay)
+}
+
+// wakeAfter wakes both ends after a delay.
+func (s *stream) wakeAfter(delay time.Duration) {
+	time.AfterFunc(delay, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.changed.Broadcast()
@@ -309,11 +330,13 @@
 	s.changed.Broadcast()
 }
 
-func (s *stream) read(b []byte) (int, error) {
+// read reads what has arrived. readDelay returns by how much later than its arrival that is returned.
+func (s *stream) read(b []byte, readDelay func() time.Duration) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
-		now := time.Now()
+		delay := readDelay()
+		now := time.Now().Add(-delay)
 		switch {
 		case s.readerClosed:
 			return 0, net.ErrClosed
@@ -332,6 +355,8 @@
 			return 0, s.err
 		case len(s.chunks) == 0 && s.eof && !now.Before(s.eofAt):
 			return 0, io.EOF
+		case delay > 0 && (len(s.chunks) > 0 || s.eof):
+			s.wakeAfter(delay)
 		}
 		s.changed.Wait()
 	}
@@ -395,7 +420,7 @@
 func (c *memConn) RemoteAddr() net.Addr { return c.remote }
 
 func (c *memConn) Read(b []byte) (int, error) {
-	n, err := c.rx.read(b)
+	n, err := c.rx.read(b, c.host.currentReadDelay)
 	c.host.waitUntilRunning()
 	return n, err
 }
@@ -414,6 +439,14 @@
 		len(c.rx.chunks) == 0 && c.rx.eof && !now.Before(c.rx.eofAt)
 }
 
+// PeerClosed reports whether the other end has closed its sending side, or the connection has ended, even if
+// bytes are still unread.
+func (c *memConn) PeerClosed() bool {
+	c.rx.mu.Lock()
+	defer c.rx.mu.Unlock()
+	return c.rx.readerClosed || c.rx.err != nil || c.rx.eof && !time.Now().Before(c.rx.eofAt)
+}
+
 // ArrivalTime returns when the bytes last read arrived, and whether that is known.
 func (c *memConn) ArrivalTime() (time.Time, bool) {
 	c.rx.mu.Lock()
--- a/internal/pauseclock/conn.go
+++ b/internal/pauseclock/conn.go
@@ -11,18 +11,51 @@
 // a connection that is not watched it returns the zero time. It may be called concurrently with
 // reads.
 func ArrivalTime(nc net.Conn) time.Time {
+	if c := findWatched(nc); c != nil {
+		return c.arrivalTime()
+	}
+	return time.Time{}
+}
+
+// findWatched returns the watched connection below nc, or nil. It unwraps TLS connections.
+func findWatched(nc net.Conn) *watchedConn {
 	for {
 		switch c := nc.(type) {
 		case *watchedConn:
-			return c.arrivalTime()
+			return c
 		case interface{ NetConn() net.Conn }: // TLS
 			nc = c.NetConn()
 		default:
-			return time.Time{}
+			return nil
 		}
 	}
 }
 
+// PeerClosed reports whether the other end of a watched connection has closed its sending side, or the
+// connection has ended. Bytes sent before that may still be unread. It asks the operating system, without
+// blocking; where that can't tell, and for connections that are not watched, it returns false. It may be
+// called concurrently with all other methods.
+func PeerClosed(nc net.Conn) bool {
+	c := findWatched(nc)
+	return c != nil && c.peerClosed()
+}
+
+// readPollInterval is the time between two looks of AwaitRead at a connection.
+const readPollInterval = 500 * time.Microsecond
+
+// AwaitRead waits until the reader of a watched connection has read and processed all data that arrived before
+// the call, or until the timeout has passed.
+func AwaitRead(nc net.Conn, timeout time.Duration) {
+	c := findWatched(nc)
+	if c == nil {
+		return
+	}
+	begun := c.socket.clock.Now()
+	for !c.socket.caughtUpSince(begun) && c.socket.clock.Now()-begun < timeout {
+		time.Sleep(readPollInterval)
+	}
+}
+
 // ArrivalTimeForAddr returns the ArrivalTime of the watched connection whose RemoteAddr method
 // returned the address. For other addresses it returns the zero time.
 func ArrivalTimeForAddr(a net.Addr) time.Time {
@@ -41,8 +74,9 @@
 // watchedConn is a connection that a clock watches.
 type watchedConn struct {
 	net.Conn
-	socket *socketState
-	reader connReader
+	socket     *socketState
+	reader     connReader
+	peerClosed func() bool // see PeerClosed
 }
 
 // connReader reads from a connection. It calls onEmpty if the socket is empty, before it blocks.
@@ -61,7 +95,7 @@
 
 // watchConn watches a connection. lastEmpty is the last time at which it is known to have been empty.
 func (c *Clock) watchConn(nc net.Conn, lastEmpty time.Duration) net.Conn {
-	w := &watchedConn{Conn: nc, socket: c.addSocket(readableFunc(nc))}
+	w := &watchedConn{Conn: nc, socket: c.addSocket(readableFunc(nc)), peerClosed: peerClosedFunc(nc)}
 	w.socket.lastEmpty.Store(lastEmpty)
 	w.socket.lastArrival.Store(c.Now())
 	w.reader = newConnReader(nc, w.socket.readable)
@@ -120,7 +154,17 @@
 	return pollFunc(socket)
 }
 
-func neverReadable() bool { return false }
+// peerClosedFunc returns a function that reports whether the other end of a connection has closed its sending
+// side. The function returns false if that can't be determined.
+func peerClosedFunc(nc net.Conn) func() bool {
+	if c, ok := nc.(interface{ PeerClosed() bool }); ok {
+		return c.PeerClosed
+	}
+	return pollPeerClosedFunc(nc)
+}
+
+// unknown is the result of a poll where sockets can't be polled.
+func unknown() bool { return false }
 
 // plainReader reads a connection without kernel timestamps. The connection itself may report
 // when bytes arrived, as connections of the in-memory network do.
--- a/internal/pauseclock/socket.go
+++ b/internal/pauseclock/socket.go
@@ -76,6 +76,12 @@
 	return s.reading.Load() || s.lastRead.Load() <= t
 }
 
+// caughtUpSince reports whether the reader has read and processed all data that arrived before t: it has found the
+// socket empty since, or waits at an empty one.
+func (s *socketState) caughtUpSince(t time.Duration) bool {
+	return s.finished.Load() || s.lastEmpty.Load() > t || s.reading.Load() && !s.readable()
+}
+
 // markEmpty records that the reader found the socket empty now.
 func (s *socketState) markEmpty() { s.lastEmpty.Store(s.clock.Now()) }
 
--- a/internal/pauseclock/tcp_linux.go
+++ b/internal/pauseclock/tcp_linux.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 	"unsafe"
@@ -11,25 +12,55 @@
 	"golang.org/x/sys/unix"
 )
 
-// pollFunc returns a function that polls a socket with poll(2), without blocking.
-func pollFunc(socket any) func() bool {
+// pollFunc returns a function that reports whether a socket is readable or at its end.
+func pollFunc(socket any) func() bool { return newPollFunc(socket, unix.POLLIN, false) }
+
+// pollPeerClosedFunc returns a function that reports whether the other end of a connection has closed its sending
+// side, or the connection has ended.
+func pollPeerClosedFunc(socket any) func() bool {
+	return newPollFunc(socket, unix.POLLRDHUP, true)
+}
+
+// socketPoller polls a socket for an event, an error or a hang-up with poll(2), without blocking.
+type socketPoller struct {
+	raw              syscall.RawConn
+	event            int16
+	resultWhenClosed bool // the result for a socket that this process has closed
+
+	mu       sync.Mutex
+	pollFunc func(fd uintptr) // the method pollDescriptor, bound once to save allocations
+	happened bool
+}
+
+// newPollFunc returns the method poll of a poller of the socket.
+func newPollFunc(socket any, event int16, resultWhenClosed bool) func() bool {
 	sc, ok := socket.(syscall.Conn)
 	if !ok {
-		return neverReadable
+		return unknown
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return neverReadable
+		return unknown
 	}
-	return func() bool {
-		readable := false
-		err := raw.Control(func(fd uintptr) {
-			fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-			n, err := unix.Poll(fds[:], 0)
-			readable = err == nil && n > 0
-		})
-		return readable && err == nil
+	poller := &socketPoller{raw: raw, event: event, resultWhenClosed: resultWhenClosed}
+	poller.pollFunc = poller.pollDescriptor
+	return poller.poll
+}
+
+// poll reports whether the event, an error or a hang-up has happened.
+func (p *socketPoller) poll() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.raw.Control(p.pollFunc); err != nil {
+		return p.resultWhenClosed
 	}
+	return p.happened
+}
+
+func (p *socketPoller) pollDescriptor(fd uintptr) {
+	fds := [1]unix.PollFd{{Fd: int32(fd), Events: p.event}}
+	n, err := unix.Poll(fds[:], 0)
+	p.happened = err == nil && n > 0
 }
 
 // newConnReader returns a reader that enables the kernel's timestamps of TCP segments
--- a/internal/pauseclock/tcp_linux_test.go
+++ b/internal/pauseclock/tcp_linux_test.go
@@ -67,3 +67,56 @@
 	}
 	return ArrivalTime(conn).Sub(sent) < 50*time.Millisecond
 }
+
+// PeerClosed must report a client's close while bytes before it are still unread, and AwaitRead must wait for a
+// reader that has not caught up, but no longer than its timeout. Otherwise requests are sent to servers for
+// clients that have disconnected.
+func TestCloseBehindUnreadBytesIsSeen(t *testing.T) {
+	clock := New(time.Now(), network.OS{}, pause.DefaultSettings())
+	defer clock.Close()
+	listener, err := clock.WatchNetwork(network.OS{}).Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := peer.Write([]byte("unread")); err != nil {
+		t.Fatal(err)
+	}
+	if PeerClosed(conn) {
+		t.Error("an open connection is reported as closed")
+	}
+	const timeout = 20 * time.Millisecond
+	begun := time.Now()
+	AwaitRead(conn, timeout)
+	if waited := time.Since(begun); waited < timeout {
+		t.Errorf("AwaitRead waited %v for a connection that nobody reads", waited)
+	}
+	if err := peer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !PeerClosed(conn) {
+		t.Error("the close behind unread bytes is not reported")
+	}
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Fatal(err)
+	}
+	begun = time.Now()
+	AwaitRead(conn, time.Hour)
+	if waited := time.Since(begun); waited > time.Minute {
+		t.Errorf("AwaitRead waited %v for a connection that was read to its end", waited)
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !PeerClosed(conn) {
+		t.Error("a connection closed by this process is not reported as closed")
+	}
+}
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -84,10 +84,14 @@
 
 // handleAttemptFinished handles the result of an attempt, unless it was ended before.
 func (n *Node) handleAttemptFinished(e attemptFinished) {
-	if e.request.attempts.isActive(e.attempt) {
-		e.request.work.completed()
-		n.finishAttempt(e.request, e.result)
+	if !e.request.attempts.isActive(e.attempt) {
+		return
+	}
+	e.request.work.completed()
+	if e.result.ClientDisconnected {
+		n.handleClientDisconnect(e.request)
 	}
+	n.finishAttempt(e.request, e.result)
 }
 
 // cancelAttempt carries out the policy's decision to stop waiting for an attempt. An
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -142,7 +142,7 @@
 	n.queuePolicyEvent(policy.ClientDisconnected{ID: r.id})
 	n.respond(r, FinalResponse{Kind: Failed, Reason: ReasonClientDisconnected})
 	if r.attempts.active && r.work.tryWithdraw() {
-		n.finishAttempt(r, Result{Code: policy.TooLate, Detail: "client disconnected before the request was sent"})
+		n.finishAttempt(r, ResultClientDisconnected)
 	}
 	n.releaseIfDone(r)
 }
--- a/node/request.go
+++ b/node/request.go
@@ -40,4 +40,18 @@
 	HTTP          HTTPRequest
 	ClientAddress string // host:port of the client; empty if unknown
 	LocalAddress  string // host:port that the client connected to; empty if unknown
+
+	Client ClientConnection // nil if it can't be looked at
+}
+
+// ClientConnection is the connection on which a client waits for the response to one request. An Upstream
+// looks at it right before it writes the request: the event that the client has disconnected passes through
+// several goroutines, and an attempt may be written before they get to run. Its methods may be called from any
+// goroutine.
+type ClientConnection interface {
+	// AwaitReceived waits until what the client has sent by now is handled, for a few milliseconds at most.
+	AwaitReceived()
+
+	// Disconnected reports whether the client has disconnected. It does not block.
+	Disconnected() bool
 }
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -23,6 +23,16 @@
 	Response *Response     // with OK, and with Error if the server responded
 	Detail   string        // for the log
 	Latency  time.Duration // from DecidedAt to the result; if 0, the node measures it
+
+	// ClientDisconnected means that the attempt was not sent because its client has disconnected.
+	ClientDisconnected bool
+}
+
+// ResultClientDisconnected is the result of an attempt that is not sent because its client has disconnected.
+var ResultClientDisconnected = Result{
+	Code:               policy.TooLate,
+	Detail:             "client disconnected before the request was sent",
+	ClientDisconnected: true,
 }
 
 // Upstream makes attempts.
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -30,8 +30,10 @@
 	h2WriteTimeout    = 5 * time.Second
 )
 
-// errTooLate is the error of a request that is too late to be sent; see resultTooLate.
-var errTooLate = errors.New("too late to send")
+// notSentError is the error of a request that must not be sent any more; see attempt.reasonNotToSend.
+type notSentError struct{ result node.Result }
+
+func (e *notSentError) Error() string { return e.result.Detail }
 
 // h2Conn is one HTTP/2 connection to a server.
 type h2Conn struct {
@@ -80,12 +82,18 @@
 	t.resetStream = func() { c.resetStream(s, http2.ErrCodeCancel) }
 	t.mu.Unlock()
 	if !over {
+		if client := t.Request.Client; client != nil {
+			client.AwaitReceived()
+		}
 		err = c.sendRequest(s, &t.Request.HTTP)
 	}
+	var notSent *notSentError
 	switch {
-	case over || errors.Is(err, errTooLate):
-		c.removeStream(s) // no byte of the request was sent
-		t.finish(resultTooLate, false)
+	case over:
+		c.removeStream(s)
+	case errors.As(err, &notSent):
+		c.removeStream(s)
+		t.finish(notSent.result, false)
 	case err != nil:
 		c.failStream(s, duringWrite, err)
 	default:
@@ -180,9 +188,12 @@
 // sendRequest sends the request of a stream. It assigns the stream ID under the write lock, since
 // IDs must increase in the order in which streams are opened.
 func (c *h2Conn) sendRequest(s *h2Stream, call *node.HTTPRequest) error {
-	late := false
+	var notSent *node.Result
 	err := c.write(func() error {
-		if late = s.attempt.expired() || !s.attempt.startWrite(); late {
+		if notSent = s.attempt.reasonNotToSend(); notSent == nil && !s.attempt.startWrite() {
+			notSent = &resultTooLate // the attempt has ended, so that the result is not reported
+		}
+		if notSent != nil {
 			return nil
 		}
 		c.mu.Lock()
@@ -215,8 +226,8 @@
 		}
 		return h2.WriteHeaderBlock(c.framer, s.id, c.headerBuffer.Bytes(), len(call.Body) == 0)
 	})
-	if late {
-		return errTooLate // nothing was written, so the connection can still be used
+	if notSent != nil {
+		return &notSentError{*notSent} // nothing was written, so the connection can still be used
 	}
 	body := call.Body
 	for err == nil && len(body) > 0 {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -177,12 +177,15 @@
 		}
 		t.conn = c
 		t.mu.Unlock()
-		if t.expired() {
-			t.finish(resultTooLate, true)
+		if client := t.Request.Client; client != nil {
+			client.AwaitReceived()
+		}
+		buf = t.appendRequest(buf[:0])
+		if reason := t.reasonNotToSend(); reason != nil {
+			t.finish(*reason, true)
 			t.markRequestSent()
 			return
 		}
-		buf = t.appendRequest(buf[:0])
 		n, assigned := 0, c.assign(t)
 		if err = net.ErrClosed; assigned && c.startWrite() {
 			if !t.startWrite() {
@@ -244,6 +247,18 @@
 	return t.Timeout > 0 && time.Since(t.startedAt) >= t.Timeout || t.pool.options.PausedSince != nil && t.pool.options.PausedSince(t.DecidedAt)
 }
 
+// reasonNotToSend returns the result of an attempt that must not be sent any more, or nil. It is called right
+// before the request is written.
+func (t *attempt) reasonNotToSend() *node.Result {
+	switch {
+	case t.expired():
+		return &resultTooLate
+	case t.Request.Client != nil && t.Request.Client.Disconnected():
+		return &node.ResultClientDisconnected
+	}
+	return nil
+}
+
 // latency returns the time from the decision on the attempt until the data last read from a
 // connection arrived. 0: not known; the node measures it.
 func (t *attempt) latency(netConn net.Conn) time.Duration {
