Each request gets its own copy of a cached denial

Callers: while the authorization service did not respond, requests denied from the cache at one moment got responses without X-Yardcleat-Reason or with it twice.

Cause: the cached *Response itself was handed to every listener, and intake.Mapper.Render sets a header in it: Header.Set deletes in place and appends, a data race on a shared slice.

Fix: the node copies the denial for each request, so that a FinalResponse belongs to its receiver, and its comment says so. Render and the listeners stay as they are. Other things that are handed out: responses of servers belong to one request, the changes that the service asks for are only read, the edge node's mapper builds its responses anew (by reading).

--- a/node/authorization.go
+++ b/node/authorization.go
@@ -115,7 +115,7 @@
 	}
 	response := FinalResponse{Kind: Rejected, Reason: reason}
 	if reason == ReasonAuthorizationDenied {
-		response.Response = result.Denial
+		response.Response = result.Denial.clone() // the denial may be cached and used for other requests
 	} else {
 		response.RetryAfter = n.options.Settings.MaxRetryAfter
 	}
--- a/node/response.go
+++ b/node/response.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/http1"
@@ -28,8 +29,15 @@
 	Body   []byte
 }
 
-// FinalResponse is the only response to a Request. The receiver may keep it but must not
-// change Response: a denial may be cached and used for several requests.
+// clone returns a copy that shares nothing with r.
+func (r *Response) clone() *Response {
+	if r == nil {
+		return nil
+	}
+	return &Response{Status: r.Status, Header: slices.Clone(r.Header), Body: slices.Clone(r.Body)}
+}
+
+// FinalResponse is the only response to a Request. It belongs to the receiver, which may change it.
 type FinalResponse struct {
 	Kind       ResponseKind
 	Reason     Reason         // ReasonNone with Served
