--- a/cmd/yardcleat/day.go
+++ b/cmd/yardcleat/day.go
@@ -72,7 +72,9 @@
 	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	start := time.Now()
-	report, err := day.Run(ctx, script, day.Options{Environment: &day.ProcessEnvironment{Program: program, TempDir: dir},
+	environment := &day.ProcessEnvironment{Program: program, TempDir: dir}
+	defer environment.Close()
+	report, err := day.Run(ctx, script, day.Options{Environment: environment,
 		Progress: func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }})
 	if err != nil {
 		return err
--- a/day/environment.go
+++ b/day/environment.go
@@ -5,12 +5,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"yardcleat.example/yardcleat/config"
@@ -41,83 +38,6 @@
 	Drain() error          // asks the node to drain, and waits until it has ended
 }
 
-// ProcessEnvironment runs scenarios on loopback sockets, with a process for each node.
-type ProcessEnvironment struct {
-	Program string // path of the yardcleat program
-	TempDir string // a directory for configurations, state and logs
-}
-
-// Network returns the network of the operating system.
-func (p *ProcessEnvironment) Network(string) network.Network { return network.OS{} }
-
-// RecordTolerance returns a large tolerance, because the machine may be busy.
-func (p *ProcessEnvironment) RecordTolerance() time.Duration { return 60 * time.Millisecond }
-
-// NewAddress returns a loopback address whose port is free for TCP and UDP.
-func (p *ProcessEnvironment) NewAddress() (string, error) {
-	for range 20 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		packetConn, err := net.ListenPacket("udp", listener.Addr().String())
-		listener.Close()
-		if err != nil {
-			continue
-		}
-		packetConn.Close()
-		return listener.Addr().String(), nil
-	}
-	return "", fmt.Errorf("no loopback port is free for both TCP and UDP")
-}
-
-// NodeDir creates and returns a directory below TempDir.
-func (p *ProcessEnvironment) NodeDir(node int) (string, error) {
-	dir := filepath.Join(p.TempDir, fmt.Sprint("node-", node))
-	return dir, os.MkdirAll(dir, 0o700)
-}
-
-// StartNode runs "yardcleat serve", and writes its log to a file next to its configuration.
-func (p *ProcessEnvironment) StartNode(node int, hcl []byte) (Node, error) {
-	dir, err := p.NodeDir(node)
-	if err != nil {
-		return nil, err
-	}
-	path := filepath.Join(dir, "node.hcl")
-	if err := os.WriteFile(path, hcl, 0o600); err != nil {
-		return nil, err
-	}
-	logFile, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	defer logFile.Close()
-	cmd := exec.Command(p.Program, "serve", "-c", path)
-	cmd.Stderr = logFile
-	if err := cmd.Start(); err != nil {
-		return nil, err
-	}
-	return &process{cmd}, nil
-}
-
-type process struct{ cmd *exec.Cmd }
-
-func (p *process) Kill() {
-	p.cmd.Process.Kill()
-	p.cmd.Wait()
-}
-
-func (p *process) Suspend(d time.Duration) {
-	p.cmd.Process.Signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	p.cmd.Process.Signal(syscall.SIGCONT)
-}
-
-func (p *process) Drain() error {
-	p.cmd.Process.Signal(syscall.SIGTERM)
-	return p.cmd.Wait()
-}
-
 // VirtualEnvironment runs scenarios in virtual time, in a testing/synctest bubble.
 type VirtualEnvironment struct {
 	Memory    *network.Memory
