HTTP/2: a request that is rejected by its header is not submitted as well

Callers: a request with a body that a listener rejects by its header (431, 413, 417) got two responses on its stream and went to a server, though the client was told that it was not taken.

Cause: "go c.reject(...)" claimed the stream inside the goroutine and ignored the result, so that the end of the body, if handled before, claimed and submitted it.

Fix: the stream is claimed before the goroutine starts, as for the other rejections; bodyComplete is written and read under the connection's lock.

The other HTTP/2 rejections (body too long, its time over) claim before (by reading).

--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -442,7 +442,10 @@
 	c.netConn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
 	if status > 0 {
-		go c.reject(st, status, detail)
+		// The stream is claimed at once, so that the end of its body does not submit the request as well.
+		if c.claim(st) {
+			go c.reject(st, status, detail)
+		}
 		return nil
 	}
 	if f.StreamEnded() {
@@ -557,6 +560,7 @@
 	c.mu.Lock()
 	c.unreturnedWindow += n
 	st := c.streams[f.StreamID]
+	isOpen := st != nil && !st.bodyComplete
 	c.mu.Unlock()
 	if c.isIdle(f.StreamID) {
 		return http2.ConnectionError(http2.ErrCodeProtocol)
@@ -570,7 +574,7 @@
 			return err
 		}
 	}
-	if st == nil || st.bodyComplete {
+	if !isOpen {
 		c.returnWindow(0, 0)
 		if st != nil {
 			return http2.StreamError{StreamID: f.StreamID, Code: http2.ErrCodeStreamClosed}
@@ -636,13 +640,9 @@
 // finishBody is called at the end of a request. It starts the handling of the request, unless
 // the stream was claimed before.
 func (c *conn) finishBody(st *stream) error {
-	if st.bodyComplete {
+	if !c.markBodyComplete(st) {
 		return http2.StreamError{StreamID: st.id, Code: http2.ErrCodeStreamClosed}
 	}
-	st.bodyComplete = true
-	if st.bodyTimer != nil {
-		st.bodyTimer.Stop()
-	}
 	if st.contentLength >= 0 && int64(len(st.body)) != st.contentLength {
 		return http2.StreamError{StreamID: st.id, Code: http2.ErrCodeProtocol}
 	}
@@ -653,6 +653,27 @@
 	return nil
 }
 
+// markBodyComplete records that the end of a request was received. It returns false if that was recorded before.
+func (c *conn) markBodyComplete(st *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if st.bodyComplete {
+		return false
+	}
+	st.bodyComplete = true
+	if st.bodyTimer != nil {
+		st.bodyTimer.Stop()
+	}
+	return true
+}
+
+// hasCompleteBody reports whether the end of a request was received.
+func (c *conn) hasCompleteBody(st *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return st.bodyComplete
+}
+
 // abortStream aborts the stream with the ID, if there is one.
 func (c *conn) abortStream(id uint32) {
 	c.mu.Lock()
@@ -748,9 +769,8 @@
 // Disconnected reports whether the stream is aborted or the client has closed the connection.
 func (s *stream) Disconnected() bool { return s.isAborted() || pauseclock.PeerClosed(s.conn.netConn) }
 
-// reject responds to a request that is not submitted to the node.
+// reject responds to a request that is not submitted to the node. The caller has claimed the stream.
 func (c *conn) reject(st *stream, status int, detail string) {
-	c.claim(st)
 	reason := node.ReasonBadRequest
 	if status == 413 {
 		reason = node.ReasonTooLarge
@@ -801,7 +821,7 @@
 		c.sendBody(st, body)
 		timer.Stop()
 	}
-	if err == nil && !st.bodyComplete {
+	if err == nil && !c.hasCompleteBody(st) {
 		// The request was not received completely: with NO_ERROR after the response, the client
 		// need not send the rest (RFC 9113, 8.1).
 		c.write(func() error { return c.framer.WriteRSTStream(st.id, http2.ErrCodeNo) })
--- /dev/null
+++ b/front/http2/testbed_test.go
@@ -0,0 +1,79 @@
+package http2
+
+import (
+	"bytes"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/intake"
+)
+
+// testServer is a server of one connection on loopback, and the client of that connection.
+type testServer struct {
+	*Server
+	client net.Conn
+	framer *http2.Framer
+	ended  chan struct{} // closed when the server has ended the connection
+}
+
+func startTestServer(t *testing.T) *testServer {
+	t.Helper()
+	cfg, err := config.Parse([]byte(fuzzConfig), "test.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{ended: make(chan struct{}), Server: New(Options{Node: immediateNode{}, Mapper: intake.New(cfg), Log: slog.New(slog.DiscardHandler), TracePrefix: "t",
+		MaxHeaderBytes: 4096, MaxHeaderFields: 20, MaxRequestBody: 1000, MaxBufferedBodyBytes: 2000, MaxConcurrentStreams: 100, FrameBudget: 1000,
+		HeaderTimeout: 5 * time.Second, BodyTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, MaxConnections: 1})}
+	if s.client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	s.framer = http2.NewFramer(s.client, s.client)
+	s.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(s.ended)
+		s.ServeConn(accepted)
+	}()
+	t.Cleanup(func() {
+		_ = s.client.Close() // the server may have closed it
+		_ = l.Close()
+		<-s.ended
+	})
+	return s
+}
+
+// send writes to the server, which may have closed the connection.
+func (s *testServer) send(text []byte) { _, _ = s.client.Write(text) }
+
+// requestFrames returns the frames of a request without a body, or of the header of one with too many header fields.
+func requestFrames(id uint32, isRejected bool) []byte {
+	var block, frames bytes.Buffer
+	encoder := hpack.NewEncoder(&block)
+	fields := [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", "/a"}, {":authority", "h"}, {"x-api-key", "k"}}
+	for range 20 * len(fields) {
+		if isRejected {
+			fields = append(fields, [2]string{"x-more", "1"})
+		}
+	}
+	for _, field := range fields {
+		_ = encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]}) // writes to a buffer
+	}
+	framer := http2.NewFramer(&frames, nil)
+	parameters := http2.HeadersFrameParam{StreamID: id, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: !isRejected}
+	_ = framer.WriteHeaders(parameters) // writes to a buffer
+	return frames.Bytes()
+}
