HTTP/2: a drain ends a connection by GOAWAY and a half-close, not by a reset

Callers: a client that was sending while a node shut down could get a reset in place of GOAWAY, and could not tell which requests had run; one whose connection was being set up could get GOAWAY before SETTINGS.

Cause: the connection was closed right after GOAWAY with requests unread, which the kernel answers with a reset. A stream was named in GOAWAY before it was counted, so its connection could be closed under it (by reading).

Fix: GOAWAY follows SETTINGS, and a drain waits 0.2 s for the preface; with GOAWAY sent and no stream left the sending side is closed and the rest discarded, for 0.5 s at most, as the HTTP/1.1 listener does. Streams count from the moment at which GOAWAY would name them. Drain, GOAWAY and linger have a file of their own.

--- /dev/null
+++ b/front/http2/drain.go
@@ -0,0 +1,97 @@
+package http2
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"golang.org/x/net/http2"
+)
+
+// When the server ends a connection, requests may still be on their way to it. Closing a connection with unread
+// bytes would reset it, and the client could lose the GOAWAY that tells which of its requests did not run. The server
+// therefore closes only its sending side, and reads and discards until the client closes too, within these bounds.
+const (
+	lingerTimeout  = 500 * time.Millisecond // far above a round trip
+	maxLingerBytes = 1 << 20
+)
+
+// drainPrefaceTimeout is how long a draining connection waits for the client preface. GOAWAY can't be sent before it.
+const drainPrefaceTimeout = 200 * time.Millisecond
+
+// drainingText is the debug data of the GOAWAY of a drain.
+const drainingText = "draining"
+
+// Drain refuses new connections, sends GOAWAY on the open ones, and waits until the streams
+// accepted before have ended. When the context ends it closes the connections.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.draining = true
+	for c := range s.conns {
+		go c.sendGoAway(http2.ErrCodeNo, drainingText)
+	}
+	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.netConn.Close()
+		}
+	})
+	defer stop()
+	s.serving.Wait()
+}
+
+// sendGoAway sends GOAWAY with the ID of the last accepted stream, unless that was done before. Before the
+// server's SETTINGS are sent it leaves that to handshake. If the code is ErrCodeNo the connection ends once it has no
+// streams.
+func (c *conn) sendGoAway(code http2.ErrCode, debugData string) {
+	c.mu.Lock()
+	first := !c.goingAway
+	c.goingAway, c.ended = true, c.ended || code != http2.ErrCodeNo
+	settingsSent := c.settingsSent
+	if !settingsSent {
+		c.netConn.SetReadDeadline(time.Now().Add(drainPrefaceTimeout))
+	}
+	c.mu.Unlock()
+	if settingsSent && first {
+		c.writeGoAway(code, debugData)
+	}
+}
+
+// writeGoAway writes GOAWAY. The connection is going away already, so that no later stream is accepted.
+func (c *conn) writeGoAway(code http2.ErrCode, debugData string) {
+	c.mu.Lock()
+	last := c.lastStreamID
+	c.mu.Unlock()
+	c.write(func() error { return c.framer.WriteGoAway(last, code, []byte(debugData)) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.goAwaySent = true
+	c.endIfDrainedLocked()
+}
+
+// endIfDrainedLocked has serve end the connection if the client has been sent GOAWAY and no stream is left. c.mu
+// must be held.
+func (c *conn) endIfDrainedLocked() {
+	if c.goAwaySent && !c.ended && len(c.streams) == 0 {
+		c.lingering = true
+		c.netConn.SetReadDeadline(time.Unix(1, 0)) // interrupts serve
+	}
+}
+
+// setReadDeadlineLocked sets the deadline for the next frame, unless the connection has drained. c.mu must be held.
+func (c *conn) setReadDeadlineLocked(deadline time.Time) {
+	if !c.lingering {
+		c.netConn.SetReadDeadline(deadline)
+	}
+}
+
+// linger closes the sending direction and discards what the client sends for a while.
+func (c *conn) linger() {
+	if w, ok := c.netConn.(interface{ CloseWrite() error }); ok {
+		w.CloseWrite()
+	}
+	c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	io.CopyN(io.Discard, c.netConn, maxLingerBytes)
+}
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -80,13 +79,17 @@
 		frameBudget: float64(s.options.FrameBudget), budgetUpdatedAt: time.Now()}
 	c.changed, c.writeLock = sync.NewCond(&c.mu), h2.NewLock()
 	s.mu.Lock()
-	full := s.draining || len(s.conns) >= s.options.MaxConnections
-	if !full {
+	c.goingAway = s.draining
+	isServed := !s.draining && len(s.conns) < s.options.MaxConnections
+	if isServed {
 		s.conns[c] = true
 		s.serving.Add(1)
 	}
 	s.mu.Unlock()
-	if full {
+	if !isServed {
+		if c.goingAway {
+			c.serve() // sends GOAWAY
+		}
 		return
 	}
 	c.serve()
@@ -96,26 +99,6 @@
 	s.serving.Done()
 }
 
-// Drain refuses new connections, sends GOAWAY on the open ones, and waits until the streams
-// accepted before have ended. When the context ends it closes the connections.
-func (s *Server) Drain(ctx context.Context) {
-	s.mu.Lock()
-	s.draining = true
-	for c := range s.conns {
-		go c.sendGoAway(http2.ErrCodeNo, "draining")
-	}
-	s.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for c := range s.conns {
-			c.netConn.Close()
-		}
-	})
-	defer stop()
-	s.serving.Wait()
-}
-
 const (
 	initialWindow = 65535    // flow-control window before SETTINGS (RFC 9113, 6.9.2)
 	streamWindow  = 64 << 10 // flow-control window of each stream for its request body
@@ -130,7 +113,7 @@
 type conn struct {
 	server  *Server
 	netConn net.Conn
-	framer  *http2.Framer
+	framer  *http2.Framer // may be used by other goroutines than that of serve once settingsSent is set
 
 	writeLock     h2.Lock // guards writes, headerBuffer and headerEncoder
 	headerBuffer  bytes.Buffer
@@ -140,7 +123,10 @@
 	changed            *sync.Cond // a window, or the state of a stream, has changed
 	streams            map[uint32]*stream
 	lastStreamID       uint32  // highest ID of an accepted stream
+	settingsSent       bool    // framer and headerEncoder are set, and the server's SETTINGS are sent
 	goingAway          bool    // no stream above lastStreamID is accepted
+	goAwaySent         bool    // the client has been told so
+	lingering          bool    // the connection has drained; serve is to end it
 	ended              bool    // no more frames are read, or a connection error was sent
 	sendWindow         int64   // bytes that may be sent on all streams together
 	initialSendWindow  int64   // bytes that may be sent on a new stream
@@ -170,24 +156,10 @@
 
 // serve handles the connection's frames until it ends, and waits for its streams to end.
 func (c *conn) serve() {
-	o := &c.server.options
-	c.netConn.SetDeadline(time.Now().Add(o.HeaderTimeout))
-	preface := make([]byte, len(http2.ClientPreface))
-	if _, err := io.ReadFull(c.netConn, preface); err != nil || string(preface) != http2.ClientPreface {
+	err := c.handshake()
+	if err != nil {
 		return
 	}
-	c.framer = http2.NewFramer(c.netConn, &frameInspector{reader: c.netConn, maxContinuations: maxContinuations,
-		onHeaderBlock: c.setHeaderBlockDeadline})
-	c.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
-	c.framer.MaxHeaderListSize = uint32(o.MaxHeaderBytes)
-	c.framer.SetMaxReadFrameSize(h2.DefaultMaxFrameSize)
-	c.headerEncoder = hpack.NewEncoder(&c.headerBuffer)
-	err := c.write(func() error {
-		return c.framer.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(o.MaxConcurrentStreams)},
-			http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: uint32(o.MaxHeaderBytes)},
-			http2.Setting{ID: http2.SettingInitialWindowSize, Val: streamWindow}, http2.Setting{ID: http2.SettingEnablePush, Val: 0})
-	})
-	c.netConn.SetDeadline(time.Now().Add(o.IdleTimeout))
 	for err == nil {
 		var f http2.Frame
 		if f, err = c.framer.ReadFrame(); err == nil {
@@ -218,12 +190,64 @@
 	for len(c.streams) > 0 {
 		c.changed.Wait() // the node always replies, so that each stream is removed
 	}
+	lingering := c.lingering
 	c.mu.Unlock()
-	if ce != 0 {
+	if ce != 0 || lingering {
 		c.linger()
 	}
 }
 
+// errNoPreface is the error of a connection that does not begin with the client preface.
+var errNoPreface = errors.New("http2: no client preface")
+
+// handshake reads the client preface and sends the server's SETTINGS. If the connection is going away by then it
+// sends GOAWAY, too.
+func (c *conn) handshake() error {
+	c.setPrefaceDeadline()
+	preface := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(c.netConn, preface); err != nil {
+		return err
+	}
+	if string(preface) != http2.ClientPreface {
+		return errNoPreface
+	}
+	o := &c.server.options
+	c.framer = http2.NewFramer(c.netConn, &frameInspector{reader: c.netConn, maxContinuations: maxContinuations,
+		onHeaderBlock: c.setHeaderBlockDeadline})
+	c.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	c.framer.MaxHeaderListSize = uint32(o.MaxHeaderBytes)
+	c.framer.SetMaxReadFrameSize(h2.DefaultMaxFrameSize)
+	c.headerEncoder = hpack.NewEncoder(&c.headerBuffer)
+	err := c.write(func() error {
+		return c.framer.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(o.MaxConcurrentStreams)},
+			http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: uint32(o.MaxHeaderBytes)},
+			http2.Setting{ID: http2.SettingInitialWindowSize, Val: streamWindow}, http2.Setting{ID: http2.SettingEnablePush, Val: 0})
+	})
+	c.netConn.SetDeadline(time.Now().Add(o.IdleTimeout))
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.settingsSent = true
+	goingAway := c.goingAway
+	c.mu.Unlock()
+	if goingAway {
+		c.writeGoAway(http2.ErrCodeNo, drainingText)
+	}
+	return nil
+}
+
+// setPrefaceDeadline sets the time until which the client preface must be read.
+func (c *conn) setPrefaceDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timeout := c.server.options.HeaderTimeout
+	if c.goingAway {
+		timeout = min(timeout, drainPrefaceTimeout)
+	}
+	c.netConn.SetDeadline(time.Now().Add(timeout))
+}
+
 // write calls f, which writes frames, with the write lock held and the write timeout set. If f
 // fails it closes the connection.
 func (c *conn) write(f func() error) error {
@@ -237,34 +261,6 @@
 	return err
 }
 
-// sendGoAway sends GOAWAY with the ID of the last accepted stream, unless that was done before.
-// If the code is ErrCodeNo the connection is closed once it has no streams.
-func (c *conn) sendGoAway(code http2.ErrCode, debugData string) {
-	c.mu.Lock()
-	first, last := !c.goingAway, c.lastStreamID
-	c.goingAway, c.ended = true, c.ended || code != http2.ErrCodeNo
-	empty := len(c.streams) == 0
-	ready := c.framer != nil
-	c.mu.Unlock()
-	if ready && first {
-		c.write(func() error { return c.framer.WriteGoAway(last, code, []byte(debugData)) })
-	}
-	if empty && code == http2.ErrCodeNo {
-		c.netConn.Close()
-	}
-}
-
-// linger closes the sending direction and discards what the client sends for a while, so that
-// the client can read the GOAWAY. Closing with unread bytes would reset the connection.
-func (c *conn) linger() {
-	const maxBytes = 1 << 20
-	if w, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-		w.CloseWrite()
-	}
-	c.netConn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
-	io.CopyN(io.Discard, c.netConn, maxBytes)
-}
-
 // chargeFrame charges a frame that costs the client nothing but the server work. Some such
 // frames are normal; a flood of them ends the connection.
 func (c *conn) chargeFrame() error { return c.charge(1) }
@@ -284,11 +280,11 @@
 	defer c.mu.Unlock()
 	switch {
 	case begins:
-		c.netConn.SetReadDeadline(time.Now().Add(c.server.options.HeaderTimeout))
+		c.setReadDeadlineLocked(time.Now().Add(c.server.options.HeaderTimeout))
 	case len(c.streams) > 0:
-		c.netConn.SetReadDeadline(time.Time{})
+		c.setReadDeadlineLocked(time.Time{})
 	default:
-		c.netConn.SetReadDeadline(time.Now().Add(c.server.options.IdleTimeout))
+		c.setReadDeadlineLocked(time.Now().Add(c.server.options.IdleTimeout))
 	}
 }
 
@@ -409,8 +405,13 @@
 	id := f.StreamID
 	c.mu.Lock()
 	st, last, goingAway, full := c.streams[id], c.lastStreamID, c.goingAway, len(c.streams) >= c.server.options.MaxConcurrentStreams
+	var opened *stream
 	if st == nil && id > c.lastStreamID && id%2 == 1 && !goingAway {
+		// From here on GOAWAY names the stream as accepted, so that the connection must not end without it.
 		c.lastStreamID = id
+		if !full {
+			opened = c.openStreamLocked(id)
+		}
 	}
 	c.mu.Unlock()
 	switch {
@@ -431,26 +432,35 @@
 		}
 		return c.write(func() error { return c.framer.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
 	}
-	st = &stream{conn: c, id: id, contentLength: -1, abortSignal: make(chan struct{}), arrivedAt: pauseclock.ArrivalTime(c.netConn)}
-	status, detail := c.parseRequest(st, f)
-	if status < 0 {
-		return http2.StreamError{StreamID: id, Code: http2.ErrCodeProtocol}
-	}
-	c.mu.Lock()
-	st.sendWindow = c.initialSendWindow
+	return c.beginRequest(opened, f)
+}
+
+// openStreamLocked adds a stream. c.mu must be held.
+func (c *conn) openStreamLocked(id uint32) *stream {
+	st := &stream{conn: c, id: id, contentLength: -1, abortSignal: make(chan struct{}), sendWindow: c.initialSendWindow,
+		arrivedAt: pauseclock.ArrivalTime(c.netConn)}
 	c.streams[id] = st
-	c.netConn.SetReadDeadline(time.Time{})
-	c.mu.Unlock()
-	if status > 0 {
+	c.setReadDeadlineLocked(time.Time{})
+	return st
+}
+
+// beginRequest handles the header of a new stream.
+func (c *conn) beginRequest(st *stream, f *http2.MetaHeadersFrame) error {
+	status, detail := c.parseRequest(st, f)
+	switch {
+	case status < 0:
+		return http2.StreamError{StreamID: st.id, Code: http2.ErrCodeProtocol}
+	case status > 0:
 		// The stream is claimed at once, so that the end of its body does not submit the request as well.
 		if c.claim(st) {
 			go c.reject(st, status, detail)
 		}
 		return nil
-	}
-	if f.StreamEnded() {
+	case f.StreamEnded():
 		return c.finishBody(st)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	st.bodyTimer = time.AfterFunc(c.server.options.BodyTimeout, func() {
 		if c.claim(st) {
 			c.reject(st, 408, "the time for the body is over")
@@ -702,7 +712,7 @@
 }
 
 // removeLocked removes a stream. When the last one is removed, it starts the idle timeout or, if
-// the connection is going away, closes it. c.mu must be held.
+// the connection has drained, ends it. c.mu must be held.
 func (c *conn) removeLocked(st *stream) {
 	if c.streams[st.id] != st {
 		return
@@ -710,10 +720,8 @@
 	delete(c.streams, st.id)
 	c.bufferedBodyBytes -= int64(len(st.body))
 	if len(c.streams) == 0 {
-		c.netConn.SetReadDeadline(time.Now().Add(c.server.options.IdleTimeout))
-		if c.goingAway && !c.ended {
-			c.netConn.Close()
-		}
+		c.setReadDeadlineLocked(time.Now().Add(c.server.options.IdleTimeout))
+		c.endIfDrainedLocked()
 	}
 	c.changed.Broadcast()
 }
