Stored files and their names are synced, so that a loss of power takes nothing back

Operators: after a loss of power a node could have an older roster epoch than it had announced, its old or an empty incarnation, so that peers dropped its messages, or no tally that it had just created.

The same elsewhere, found by a test of the source: the incarnation was written and renamed without any sync, so was the roster of "roster next"; the directory of a new or moved database was not synced.

Fix: internal/files syncs the directory after renames and creations and returns its error; everything that is stored goes through it (TestStoredDataIsSynced: five places before). Replace takes the permissions.

Tests: TestReplaceSyncsTheNameAfterTheContent, TestRenameAndCreationAreSynced; before, nothing was synced after the rename. Power itself was not cut.

--- a/cmd/yardcleat/roster.go
+++ b/cmd/yardcleat/roster.go
@@ -10,9 +10,13 @@
 	"github.com/spf13/cobra"
 
 	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/internal/files"
 	"yardcleat.example/yardcleat/membership"
 )
 
+// rosterFileMode is the mode of a roster, which nodes under other users read.
+const rosterFileMode = 0o644
+
 func rosterCommand() *cobra.Command {
 	c := &cobra.Command{Use: "roster", Short: "Create and check the roster of a fleet"}
 	var path string
@@ -26,12 +30,11 @@
 			if err != nil {
 				return err
 			}
-			temporaryPath := path + ".new"
-			if err := os.WriteFile(temporaryPath, config.FormatRoster(&roster), 0o644); err != nil {
+			if err := files.Replace(path, config.FormatRoster(&roster), rosterFileMode); err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: epoch %d, %d nodes, %d leaving\n", filepath.Base(path), roster.Epoch, len(roster.Nodes), len(roster.Leaving))
-			return os.Rename(temporaryPath, path)
+			return nil
 		}}
 	next.Flags().StringArrayVar(&add, "add", nil, "a node that joins, as NAME=ADDRESS of its listener for peers; may be repeated")
 	next.Flags().StringArrayVar(&replace, "replace", nil, "a node that takes over the number of one that has stopped for good, as OLD=NAME=ADDRESS")
--- a/internal/snapshotfile/snapshotfile.go
+++ b/internal/snapshotfile/snapshotfile.go
@@ -25,6 +25,9 @@
 	"yardcleat.example/yardcleat/internal/files"
 )
 
+// fileMode is the mode of the files, which only their owner can read and write.
+const fileMode = 0o600
+
 // ErrChecksum is the cause of a [*DamagedError] if the payload does not match its checksum.
 var ErrChecksum = errors.New("checksum mismatch")
 
@@ -73,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	return files.Replace(path, content)
+	return files.Replace(path, content, fileMode)
 }
 
 // Read returns the header and the payload of the file at path, or zero values and one of the
@@ -147,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	return files.Replace(path, content)
+	return files.Replace(path, content, fileMode)
 }
 
 // ReadPlain returns the value written by [WritePlain]. It detects damage only if the content is not
--- a/peer/authenticated_transport.go
+++ b/peer/authenticated_transport.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/files"
 	"yardcleat.example/yardcleat/internal/network"
 )
 
@@ -188,6 +189,9 @@
 	}
 }
 
+// incarnationFileMode is the mode of the file of the incarnation, which only its owner can read and write.
+const incarnationFileMode = 0o600
+
 // Incarnation returns the incarnation of a process: its start in nanoseconds of Unix time, or one
 // more than the last incarnation stored in dir if that is higher. The result is then stored in dir.
 // If dir is "", nothing is read or stored. An error means that reading or storing failed; the
@@ -208,9 +212,6 @@
 	case !errors.Is(err, fs.ErrNotExist):
 		return inc, err
 	}
-	tmp := path + ".new"
-	if err := os.WriteFile(tmp, []byte(strconv.FormatUint(inc, 10)+"\n"), 0o600); err != nil {
-		return inc, err
-	}
-	return inc, cmp.Or(invalid, os.Rename(tmp, path))
+	err = files.Replace(path, []byte(strconv.FormatUint(inc, 10)+"\n"), incarnationFileMode)
+	return inc, cmp.Or(invalid, err)
 }
--- a/storage/open.go
+++ b/storage/open.go
@@ -12,6 +12,7 @@
 	"go.etcd.io/bbolt"
 	bbolterrors "go.etcd.io/bbolt/errors"
 
+	"yardcleat.example/yardcleat/internal/files"
 	"yardcleat.example/yardcleat/usage"
 )
 
@@ -74,7 +75,7 @@
 // moveAside renames a file that can't be used.
 func moveAside(path string, cause error) (*MovedAsideError, error) {
 	moved := &MovedAsideError{Path: path, MovedTo: fmt.Sprintf("%s.aside-%d", path, time.Now().UnixNano()), Cause: cause}
-	return moved, os.Rename(path, moved.MovedTo)
+	return moved, files.Rename(path, moved.MovedTo)
 }
 
 // open opens a database and reads its entries. It closes the database if it can't be used.
@@ -101,6 +102,9 @@
 		entries, err = load(tx, path, node)
 		return err
 	})
+	if err == nil {
+		err = files.SyncCreated(path)
+	}
 	return &Store{db}, entries, err
 }
 
