authz: only probes close a circuit breaker

Operators: an authorization service that was down could get the full load back at once.

Fix: recordResult knows whether the check was a probe.

Test: TestEarlierResultsDoNotCloseTheBreaker; before, the third earlier result closed the breaker, and three checks were accepted at a time.

--- a/authz/address.go
+++ b/authz/address.go
@@ -44,7 +44,7 @@
 func (a *address) checkCanceled(isProbe bool) {
 	a.inFlight--
 	if isProbe {
-		a.breaker.checkEnded()
+		a.breaker.probeEnded()
 	}
 }
 
@@ -62,11 +62,11 @@
 func (a *address) checkEnded(now time.Time, isProbe bool, result CheckResult, timeout time.Duration, rng *rand.Rand) breakerChange {
 	a.inFlight--
 	if isProbe {
-		a.breaker.checkEnded()
+		a.breaker.probeEnded()
 	}
 	switch {
 	case result.Outcome.hasResult():
-		return a.recordResult(now, result.Latency)
+		return a.recordResult(now, isProbe, result.Latency)
 	case result.ProcessPaused:
 		return breakerUnchanged
 	default:
@@ -74,18 +74,18 @@
 	}
 }
 
-func (a *address) recordFailure(now time.Time, probe bool, timeout time.Duration, rng *rand.Rand) breakerChange {
+func (a *address) recordFailure(now time.Time, isProbe bool, timeout time.Duration, rng *rand.Rand) breakerChange {
 	a.limit.recordFailure()
-	if a.breaker.recordFailure(now, probe, timeout, rng) {
+	if a.breaker.recordFailure(now, isProbe, timeout, rng) {
 		return breakerOpened
 	}
 	return breakerUnchanged
 }
 
-func (a *address) recordResult(now time.Time, latency time.Duration) breakerChange {
+func (a *address) recordResult(now time.Time, isProbe bool, latency time.Duration) breakerChange {
 	a.latencySeconds += latencyWeight * (latency.Seconds() - a.latencySeconds)
 	a.limit.recordResult(latency.Seconds(), a.inFlight)
-	if !a.breaker.recordResult(now) {
+	if !a.breaker.recordResult(now, isProbe) {
 		return breakerUnchanged
 	}
 	a.limit.reset()
--- a/authz/circuit_breaker.go
+++ b/authz/circuit_breaker.go
@@ -52,19 +52,14 @@
 	return b.probeInFlight
 }
 
-// checkEnded must be called for each probe that ended or was canceled. For another check it must
-// not be called while a probe is in flight. It reports whether a probe was in flight.
-func (b *circuitBreaker) checkEnded() (probe bool) {
-	probe = b.probeInFlight
-	b.probeInFlight = false
-	return probe
-}
+// probeEnded must be called for each probe that ended or was canceled.
+func (b *circuitBreaker) probeEnded() { b.probeInFlight = false }
 
 // recordFailure records a check without a result, and reports whether it opened a closed breaker.
-func (b *circuitBreaker) recordFailure(now time.Time, probe bool, timeout time.Duration, rng *rand.Rand) (opened bool) {
+func (b *circuitBreaker) recordFailure(now time.Time, isProbe bool, timeout time.Duration, rng *rand.Rand) (opened bool) {
 	b.failures++
 	noResults := now.Sub(b.lastResultAt) > openAfterTimeouts*timeout
-	if !probe && (b.failures < openAfterFailures || !noResults) {
+	if !isProbe && (b.failures < openAfterFailures || !noResults) {
 		return false
 	}
 	opened = !b.tripped
@@ -77,12 +72,12 @@
 	return opened
 }
 
-// recordResult records a check with a result, and reports whether it closed the breaker. Until the breaker
-// is closed, the result of a check that was sent before it opened counts as a successful probe, too.
-func (b *circuitBreaker) recordResult(now time.Time) (closed bool) {
+// recordResult records a check with a result, and reports whether it closed the breaker. Only probes close it: a check
+// that was sent before it opened says nothing of the time since.
+func (b *circuitBreaker) recordResult(now time.Time, isProbe bool) (closed bool) {
 	b.failures = 0
 	b.lastResultAt = now
-	if !b.tripped {
+	if !isProbe {
 		return false
 	}
 	b.probeSuccesses++
--- a/authz/circuit_breaker_test.go
+++ b/authz/circuit_breaker_test.go
@@ -9,14 +9,15 @@
 const breakerTestTimeout = 200 * time.Millisecond
 
 func failCheck(b *circuitBreaker, now time.Time, rng *rand.Rand) (opened bool) {
-	b.checkSent()
-	return b.recordFailure(now, b.checkEnded(), breakerTestTimeout, rng)
+	isProbe := b.checkSent()
+	b.probeEnded()
+	return b.recordFailure(now, isProbe, breakerTestTimeout, rng)
 }
 
 func passCheck(b *circuitBreaker, now time.Time) (closed bool) {
-	b.checkSent()
-	b.checkEnded()
-	return b.recordResult(now)
+	isProbe := b.checkSent()
+	b.probeEnded()
+	return b.recordResult(now, isProbe)
 }
 
 func TestBreakerOpensAfterFailuresWithoutResults(t *testing.T) {
@@ -66,7 +67,7 @@
 	if b.allows(now) {
 		t.Error("a second probe is allowed while one is in flight")
 	}
-	b.checkEnded()
+	b.probeEnded()
 	for probe := 1; probe <= closeAfterProbes; probe++ {
 		if closed := passCheck(b, now); closed != (probe == closeAfterProbes) {
 			t.Errorf("after %d probes: closed is %v", probe, closed)
@@ -100,3 +101,37 @@
 		}
 	}
 }
+
+// Results of checks that were sent before the breaker opened must not close it. Otherwise an authorization service
+// that is down would get the full load back at once.
+func TestEarlierResultsDoNotCloseTheBreaker(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	a := newAddress(0, 2*openAfterFailures)
+	var sent []bool
+	for range openAfterFailures + closeAfterProbes {
+		sent = append(sent, a.checkSent())
+	}
+	now := testStart
+	for _, isProbe := range sent[:openAfterFailures] {
+		a.checkEnded(now, isProbe, CheckResult{Outcome: TimedOut}, breakerTestTimeout, rng)
+	}
+	if !a.breaker.open(now) {
+		t.Fatal("the breaker is not open")
+	}
+	now = a.breaker.openUntil
+	for _, isProbe := range sent[openAfterFailures:] {
+		if change := a.checkEnded(now, isProbe, CheckResult{Outcome: Allowed}, breakerTestTimeout, rng); change != breakerUnchanged {
+			t.Errorf("an earlier result changed the breaker: %v", change)
+		}
+	}
+	for probe := range closeAfterProbes {
+		isProbe := a.checkSent()
+		if !isProbe || a.accepts(now) {
+			t.Errorf("check %d after the open time: probe %v, another check is accepted: %v", probe, isProbe, a.accepts(now))
+		}
+		change := a.checkEnded(now, isProbe, CheckResult{Outcome: Allowed}, breakerTestTimeout, rng)
+		if want := map[bool]breakerChange{true: breakerClosed, false: breakerUnchanged}[probe == closeAfterProbes-1]; change != want {
+			t.Errorf("probe %d: change %v, want %v", probe, change, want)
+		}
+	}
+}
