--- a/policy/fleet_harness_test.go
+++ b/policy/fleet_harness_test.go
@@ -19,6 +19,7 @@
 	startedAt        []time.Duration
 	finishedAttempts int // number of attempts that have ended; these are the first of attempts
 	rejected         int
+	rejections       map[RequestID]Reason // by Reject actions; nil: not recorded
 }
 
 type messageInTransit struct {
@@ -29,7 +30,7 @@
 
 func newGatewayFleet(t *testing.T, n int, servers []Server) *gatewayFleet {
 	t.Helper()
-	f := &gatewayFleet{t: t, now: 10 * time.Second, isLost: func(int, int) bool { return false }}
+	f := &gatewayFleet{t: t, now: 10 * time.Second, isLost: func(int, int) bool { return false }, rejections: map[RequestID]Reason{}}
 	for i := range n {
 		settings := baseSettings()
 		settings.SelfIndex, settings.Gateways = i, n
@@ -60,7 +61,12 @@
 			}
 		case StartAttempt:
 			f.attempts, f.attemptGateways, f.startedAt = append(f.attempts, a), append(f.attemptGateways, i), append(f.startedAt, f.now)
-		case Reject, Fail:
+		case Reject:
+			f.rejected++
+			if f.rejections != nil {
+				f.rejections[a.ID] = a.Reason
+			}
+		case Fail:
 			f.rejected++
 		}
 	}
--- a/policy/lease_test.go
+++ b/policy/lease_test.go
@@ -165,6 +165,47 @@
 	}
 }
 
+// Requests that a leader has queued when it is lost must be rejected for want of a quota leader, which passes soon, not
+// for the customer's cap on attempts in flight, upon which a client waits for its own requests to end. With the
+// leader alive the reason is the cap.
+func TestRequestQueuedAtLostLeaderNamesTheLeader(t *testing.T) {
+	const requests = 40
+	for isLost, want := range map[bool]Reason{false: ReasonInFlightLimit, true: ReasonNoQuotaLeader} {
+		fleet := newGatewayFleet(t, 60, testServers(20))
+		c := fleet.gateways[0].addCustomer(customerKey("k"), fleet.gateways[0].plans["open"], 0, 60)
+		leaders, standby := fleet.gateways[0].quotaLeaders(c, fleet.gateways[0].size)
+		client := 0
+		for client == leaders[0] || client == standby {
+			client++
+		}
+		next := RequestID(0)
+		send := func(time.Duration) {
+			if next < requests {
+				next++
+				fleet.request(client, next, "k", "open", "safe", 60)
+			}
+		}
+		fleet.advance(requests*10*ms/2, send)
+		var queued []RequestID
+		for _, r := range fleet.gateways[client].leases.pending {
+			if r.lease.queuedAtLeader && r.lease.key.gateway == leaders[0] {
+				queued = append(queued, r.id)
+			}
+		}
+		fleet.isLost = func(from, to int) bool { return isLost && (to == leaders[0] || from == leaders[0]) }
+		fleet.advance(2*time.Second, send)
+		counts := map[Reason]int{}
+		for _, id := range queued {
+			if reason, isRejected := fleet.rejections[id]; isRejected {
+				counts[reason]++
+			}
+		}
+		if counts[want] == 0 || len(counts) > 1 {
+			t.Errorf("leader lost: %v; rejections of %d queued requests by reason: %v, want %v", isLost, len(queued), counts, want)
+		}
+	}
+}
+
 // The fill of a bucket is decoded to what was encoded, even if its burst is less than a unit.
 func TestSmallBucketFillRoundTrips(t *testing.T) {
 	for _, burst := range []float64{0.25, 0.9, 1, 20} {
