http1: what a client sends ahead is buffered up to one message, not two

Operators: a client that sends requests ahead without end could make the buffer of its connection grow to about twice the largest message; on an edge node with many such clients that is memory the limits do not count.

Fix: it grows to the limit at most.

Test: TestAwaitBuffersOneMessageAtMost; before, 8,192 of 5,096 and 131,072 of 69,632 bytes. The tests of internal/http1, front/http1 and edgenode pass.

--- a/internal/http1/read.go
+++ b/internal/http1/read.go
@@ -45,12 +45,13 @@
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
-		size := r.br.Size()
-		if int64(size) >= int64(r.limits.MaxHeaderBytes)+r.limits.MaxBodyBytes {
+		size := int64(r.br.Size())
+		maxSize := int64(r.limits.MaxHeaderBytes) + r.limits.MaxBodyBytes
+		if size >= maxSize {
 			return ErrPipelineTooLong
 		}
-		buffered, _ := r.br.Peek(size)
-		r.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), r.src), 2*size)
+		buffered, _ := r.br.Peek(int(size))
+		r.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), r.src), int(min(2*size, maxSize)))
 	}
 }
 
--- a/internal/http1/read_test.go
+++ b/internal/http1/read_test.go
@@ -237,3 +237,28 @@
 		}
 	})
 }
+
+// Await must hold the largest message that the limits allow, and no more: a client that sends ahead without end would
+// otherwise make the buffer of its connection grow to twice that.
+func TestAwaitBuffersOneMessageAtMost(t *testing.T) {
+	for _, limits := range []Limits{testLimits, {MaxLineBytes: 1024, MaxHeaderFields: 20, MaxHeaderBytes: 4096, MaxBodyBytes: 1 << 16}} {
+		r := NewReader(iotest.OneByteReader(endlessReader{}), limits)
+		var err error
+		for err == nil {
+			err = r.Await()
+		}
+		if want := int64(limits.MaxHeaderBytes) + limits.MaxBodyBytes; !errors.Is(err, ErrPipelineTooLong) || int64(r.Buffered()) != want {
+			t.Errorf("%v with %d bytes buffered, want %d", err, r.Buffered(), want)
+		}
+	}
+}
+
+// endlessReader reads the letter x without end.
+type endlessReader struct{}
+
+func (endlessReader) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = 'x'
+	}
+	return len(b), nil
+}
