config: with a roster a customer may begin at any number that a gateway can have

Operators: "first_node = 65535" was refused with a roster, though numbers go from 0 to 65535.

Cause: the highest number stood for the number of nodes, and the bound was one below that.

Fix: the two bounds are apart. Test: TestAnyFirstNodeWithRoster (0 and 65535 valid, -1 and 65536 not); before, 65535 was out of range. The package's tests pass.

--- a/config/customers.go
+++ b/config/customers.go
@@ -9,8 +9,9 @@
 
 func (l *loader) customers(in []customerBlock) {
 	fleetSize := len(l.config.Peers.Addresses) + 1
-	if l.config.Roster != nil {
-		fleetSize = maxGatewayNumber // a fleet with a roster may grow
+	maxFirstGateway := fleetSize - 1
+	if l.config.Roster != nil { // the fleet may grow
+		fleetSize, maxFirstGateway = maxGatewayNumber, maxGatewayNumber
 	}
 	names := map[string]hcl.Range{}
 	keys := map[string]hcl.Range{}
@@ -19,7 +20,7 @@
 		customer := Customer{
 			Name:          block.Name,
 			Plan:          l.nonEmptyText(block.Plan),
-			FirstGateway:  l.integer(block.FirstGateway, integerBounds{Default: 0, Min: 0, Max: fleetSize - 1}),
+			FirstGateway:  l.integer(block.FirstGateway, integerBounds{Default: 0, Min: 0, Max: maxFirstGateway}),
 			GatewaySpread: l.integer(block.GatewaySpread, integerBounds{Default: fleetSize, Min: 1, Max: fleetSize}),
 		}
 		l.checkPlan(customer.Plan, block.Plan)
--- a/config/every_key_test.go
+++ b/config/every_key_test.go
@@ -153,6 +153,25 @@
 	}
 }
 
+// A customer of a fleet with a roster may begin at any number that a gateway can have, as the fleet may grow to it.
+func TestAnyFirstNodeWithRoster(t *testing.T) {
+	rosterFile := filepath.Join(t.TempDir(), "roster.hcl")
+	roster := &membership.Roster{Epoch: 3, Nodes: []membership.Node{{Name: "a", Address: "10.0.0.1:7000"}, {Name: "b", Address: "10.0.0.2:7000"}}}
+	writeFile(t, rosterFile, string(FormatRoster(roster)))
+	src := replaceAll(t, readFile(t, "every_key.hcl"), map[string]string{
+		`  listen          = "127.0.0.1:8090"`: `  listen = "127.0.0.1:8090"
+  roster = "` + rosterFile + `"`,
+		`  peer "0" { address = "127.0.0.1:8190" }` + "\n": "",
+		`  peer "2" { address = "127.0.0.1:8290" }` + "\n": "",
+	})
+	for first, isValid := range map[string]bool{"0": true, "65535": true, "65536": false, "-1": false} {
+		_, err := Parse([]byte(strings.Replace(src, "first_node = 2", "first_node = "+first, 1)), "node.hcl")
+		if isValid != (err == nil) {
+			t.Errorf("first_node = %s: %v", first, err)
+		}
+	}
+}
+
 // An invalid value of a key is reported with file, line and columns.
 func TestEveryKeyOutOfBounds(t *testing.T) {
 	src := readFile(t, "every_key.hcl")
