standin/counter: a split healed with both copies loses no field

Whoever plays splits of the counter: "heal both" dropped fields that only the second copy had, unless they were integers above 0, so that a scenario showed a loss that was the fake's own.

Cause: a missing field counted as 0 and any value had to be larger. Fix: a field that only one copy has is kept; of integers that both have the larger one counts, as the comment says.

Test: TestHealWithBothCopiesLosesNoField, 20 times; before, four fields were missing.

--- a/standin/counter/counter.go
+++ b/standin/counter/counter.go
@@ -33,6 +33,27 @@
 	hashes map[string]map[string]string
 }
 
+// mergeHashes adds the fields that only other has, and takes the larger value of integer fields that both have.
+func (d *dataset) mergeHashes(other *dataset) {
+	for key, hash := range other.hashes {
+		if d.hashes[key] == nil {
+			d.hashes[key] = map[string]string{}
+		}
+		for field, value := range hash {
+			if old, exists := d.hashes[key][field]; !exists || isLargerInteger(value, old) {
+				d.hashes[key][field] = value
+			}
+		}
+	}
+}
+
+// isLargerInteger reports whether a value is an integer that is larger than another one.
+func isLargerInteger(value, other string) bool {
+	n, err := strconv.ParseInt(value, 10, 64)
+	m, otherErr := strconv.ParseInt(other, 10, 64)
+	return err == nil && otherErr == nil && n > m
+}
+
 func newDataset() *dataset { return &dataset{map[string]string{}, map[string]map[string]string{}} }
 
 func (d *dataset) clone() *dataset {
@@ -127,17 +148,7 @@
 		case "second":
 			setBoth(s.datasets[1])
 		case "both":
-			for key, hash := range s.datasets[1].hashes {
-				if s.datasets[0].hashes[key] == nil {
-					s.datasets[0].hashes[key] = map[string]string{}
-				}
-				for field, value := range hash {
-					old, _ := strconv.ParseInt(s.datasets[0].hashes[key][field], 10, 64)
-					if n, err := strconv.ParseInt(value, 10, 64); err == nil && n > old {
-						s.datasets[0].hashes[key][field] = value
-					}
-				}
-			}
+			s.datasets[0].mergeHashes(s.datasets[1])
 			setBoth(s.datasets[0])
 		default:
 			return fmt.Errorf("heal: argument must be first, second or both, got %q", arg)
