upstream: the detail of a failed attempt names its status over HTTP/2 too

Operators: the answer line of a request whose server over HTTP/2 rejected it with a status below 500 had no detail; over HTTP/1.1 it had.

Cause: each protocol built its result in its own way. Fix: responseResult builds both.

Test: TestDetailNamesTheStatusOfFailedAttempts, four statuses over both protocols; before, 429 over HTTP/2 had no detail.

--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -512,10 +512,5 @@
 	if !c.removeStream(s) {
 		return
 	}
-	result := node.Result{Code: c.pool.options.RejectionSignal.resultCode(s.head), Latency: s.attempt.latency(c.netConn), Response: &node.Response{Status: s.head.Status,
-		Header: s.head.Header.EndToEnd(), Body: s.body}}
-	if s.head.Status >= 500 {
-		result.Detail = fmt.Sprintf("status %d", s.head.Status)
-	}
-	s.attempt.finish(result, false)
+	s.attempt.finish(s.attempt.responseResult(s.head, s.body, c.netConn), false)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -580,13 +580,21 @@
 		t.finish(node.Result{Code: code, Detail: detail}, false)
 		return false
 	}
-	response := &node.Response{Status: head.Status, Header: head.Header.EndToEnd(), Body: body}
-	result := node.Result{Code: c.pool.options.RejectionSignal.resultCode(head), Response: response, Latency: t.latency(c.netConn)}
+	t.finish(t.responseResult(head, body, c.netConn), head.KeepAlive() && c.reader.Buffered() == 0)
+	return head.KeepAlive()
+}
+
+// responseResult returns the result of an attempt with a complete response.
+func (t *attempt) responseResult(head *http1.Response, body []byte, netConn net.Conn) node.Result {
+	result := node.Result{
+		Code:     t.pool.options.RejectionSignal.resultCode(head),
+		Response: &node.Response{Status: head.Status, Header: head.Header.EndToEnd(), Body: body},
+		Latency:  t.latency(netConn),
+	}
 	if result.Code != policy.OK {
 		result.Detail = fmt.Sprintf("status %d", head.Status)
 	}
-	t.finish(result, head.KeepAlive() && c.reader.Buffered() == 0)
-	return head.KeepAlive()
+	return result
 }
 
 // resultBufferFull is the result of an attempt whose response would exceed MaxBufferedBodyBytes.
