--- a/cmd/yardcleat/hunt.go
+++ b/cmd/yardcleat/hunt.go
@@ -68,10 +68,11 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			h.cmd = cmd
-			for text, bounds := range map[string]*[2]int{nodes: &h.limits.Nodes, faults: &h.limits.Faults} {
-				if _, err := fmt.Sscanf(text, "%d-%d", &bounds[0], &bounds[1]); err != nil || bounds[0] < 1 || bounds[1] < bounds[0] {
-					return fmt.Errorf("invalid range %q: must be two numbers such as 2-12", text)
-				}
+			if err := h.setRanges(nodes, faults); err != nil {
+				return err
+			}
+			if h.mutation != "" && !slices.Contains(virtual.Mutations(), h.mutation) {
+				return fmt.Errorf("unknown defect %q; the defects are %s", h.mutation, strings.Join(virtual.Mutations(), ", "))
 			}
 			for _, kind := range h.limits.Kinds {
 				if !slices.Contains(hunt.FaultKinds(), kind) {
@@ -96,6 +97,23 @@
 	return c
 }
 
+// setRanges sets the ranges of the number of nodes and of faults.
+func (h *faultSearch) setRanges(nodes, faults string) (err error) {
+	if h.limits.Nodes, err = parseRange(nodes); err != nil {
+		return err
+	}
+	h.limits.Faults, err = parseRange(faults)
+	return err
+}
+
+// parseRange parses a range of positive numbers, such as 2-12.
+func parseRange(text string) (bounds [2]int, err error) {
+	if _, err := fmt.Sscanf(text, "%d-%d", &bounds[0], &bounds[1]); err != nil || bounds[0] < 1 || bounds[1] < bounds[0] {
+		return bounds, fmt.Errorf("invalid range %q: must be two numbers such as 2-12", text)
+	}
+	return bounds, nil
+}
+
 func (h *faultSearch) logf(format string, args ...any) {
 	fmt.Fprintf(h.cmd.ErrOrStderr(), format+"\n", args...)
 }
@@ -244,9 +262,9 @@
 	if h.outputDir == "" {
 		return nil
 	}
-	text := fmt.Sprintf("# Found by lab hunt --seed %d; play it with --seed %d", h.seed, smallest.Seed)
+	text := fmt.Sprintf("# Found by lab hunt --seed %d, in virtual time with the seed %d", h.seed, smallest.Seed)
 	if smallest.NoTimestamps {
-		text += " --no-stamps"
+		text += " and without timestamps"
 	}
 	for _, message := range messages {
 		text += "\n# " + strings.ReplaceAll(message, "\n", "\n# ")
