policy: small fractions of a unit keep a rate quota in full mesh

Cause: gateways report whole units, rounded up, so a report may take one unit from a bucket that holds a part of one. The bucket stopped at 0 and the rest of the unit was forgotten with each report; the smaller the requests, the more often. Not the rounding itself: with a bucket that may go below 0 the same totals count exactly.

Fix: where requests have cost fractions, peers' reports may leave the bucket below 0 by up to one unit for each peer, as far as their totals can be rounded up. Messages, and customers with whole units, are as before.

Test: TestSmallFractionsKeepTheQuotaInFullMesh, fleets of 2 to 10, 0.05 to 0.9 units at five times the quota: before, 18 of 28 cases used 1.06 to 2.91 of it; now all are between 0.95 and 1.05.

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -44,6 +44,7 @@
 	peerViews        []*peerView // one for each other gateway that keeps the customer's buckets
 	admittedUnits    uint16      // running total of units, wraps around; see countAdmitted
 	uncountedUnits   float64     // admitted units not in admittedUnits yet; above -1
+	hasFractions     bool        // requests have cost fractions of a unit
 	reportedUnits    uint16      // admittedUnits as last reported
 	pendingReports   int         // number of reports that must still include the last change
 	lastExchangeTick uint32      // tick of the last report or lease response; 0: none
--- a/policy/load_report.go
+++ b/policy/load_report.go
@@ -261,7 +261,7 @@
 		}
 		// Below 0 if actual costs were lower than the charged units.
 		admitted := float64(int16(reported.admittedUnits - view.admittedUnits))
-		c.tokens = min(c.plan.Burst, max(0, c.tokens-admitted))
+		c.tokens = min(c.plan.Burst, max(c.lowestTokens(), c.tokens-admitted))
 	}
 	view.hasReport = true
 	view.incarnation = p.incarnation
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -39,6 +39,10 @@
 	// firstAttemptReserve is the share of a bucket that clients' retries must leave for first attempts.
 	firstAttemptReserve = 0.7
 
+	// maxRoundedUnits is the number of units by which the running total of each gateway may exceed the units
+	// that it has admitted.
+	maxRoundedUnits = 1.0
+
 	// restartedLeaderFill is the share of the burst that a gateway in leader mode assumes in a new customer's
 	// bucket while it cannot know whether it granted leases from the bucket before a restart.
 	restartedLeaderFill = 0.8
@@ -218,10 +222,22 @@
 	c.countAdmitted(units)
 }
 
+// lowestTokens returns the number of tokens at which peers' reports leave the bucket at least. Units that
+// exceed the bucket are forgotten, since several gateways may have admitted requests at the same time.
+// Running totals hold whole units, however: where requests cost fractions, a report may take a unit of which
+// the bucket holds a part, and without a debt the rest would be given away each time.
+func (c *customer) lowestTokens() float64 {
+	if c.hasFractions {
+		return -maxRoundedUnits * float64(len(c.peerViews))
+	}
+	return 0
+}
+
 // countAdmitted adds units, which may be negative, to the running total for peers. The total is in whole
 // units, rounded up: it is less than one unit too high, and never too low, unless maxReportedAdvance holds it
 // back.
 func (c *customer) countAdmitted(units float64) {
+	c.hasFractions = c.hasFractions || units != math.Trunc(units)
 	c.uncountedUnits += units
 	c.advanceTotal()
 }
--- a/policy/quota_test.go
+++ b/policy/quota_test.go
@@ -224,18 +224,30 @@
 // can carry. Such requests use about as much of a quota as requests of the same share of it in whole units.
 func TestQuotaCountsFractionsAndManyUnitsInFullMesh(t *testing.T) {
 	for _, c := range []struct{ rate, units float64 }{{10, 0.5}, {10, 1.4}, {10, 3.9}, {100_000, 14_000}, {100_000, 40_000}, {100_000, 70_000}} {
-		got, want := meshQuotaUse(t, c.rate, c.units), meshQuotaUse(t, 100, math.Round(100*c.units/c.rate))
+		got, want := meshQuotaUse(t, 3, c.rate, c.units), meshQuotaUse(t, 3, 100, math.Round(100*c.units/c.rate))
 		if got > want+0.15 || got < want-0.15 {
 			t.Errorf("requests of %v units use %.2f of a quota of %v, those of the same share in whole units %.2f", c.units, got, c.rate, want)
 		}
 	}
 }
 
-// meshQuotaUse returns the share of its quota that a customer uses if it requests five times the quota from three
+// Requests of well under a unit must not use more than a rate quota. Gateways report their use in whole units, and a
+// report may take a unit of which a bucket holds a part; the rest must not be forgotten each time.
+func TestSmallFractionsKeepTheQuotaInFullMesh(t *testing.T) {
+	for _, gateways := range []int{2, 3, 6, 10} {
+		for _, units := range []float64{0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9} {
+			if got := meshQuotaUse(t, gateways, 10, units); got < 0.95 || got > 1.05 {
+				t.Errorf("%d gateways: requests of %v units at five times the quota use %.2f of it", gateways, units, got)
+			}
+		}
+	}
+}
+
+// meshQuotaUse returns the share of its quota that a customer uses if it requests five times the quota from a number of
 // gateways.
-func meshQuotaUse(t *testing.T, rate, units float64) float64 {
+func meshQuotaUse(t *testing.T, gateways int, rate, units float64) float64 {
 	t.Helper()
-	fleet := newGatewayFleet(t, 3, testServers(20))
+	fleet := newGatewayFleet(t, gateways, testServers(20))
 	for _, g := range fleet.gateways {
 		g.plans["rate"].Rate, g.plans["rate"].Burst = rate, rate
 	}
@@ -248,8 +260,8 @@
 		}
 		for dueUnits += 5 * rate / 100; dueUnits >= units; dueUnits -= units {
 			requested++
-			fleet.handle(requested%3, Request{ID: RequestID(requested), Customer: "k", Plan: "rate", Class: "safe", Units: units,
-				Remaining: 2 * time.Second, GatewaySpread: 3})
+			fleet.handle(requested%gateways, Request{ID: RequestID(requested), Customer: "k", Plan: "rate", Class: "safe", Units: units,
+				Remaining: 2 * time.Second, GatewaySpread: gateways})
 		}
 	})
 	return float64(len(fleet.attempts)) * units / (21 * rate)
