front/http2, upstream: files by what they do; every declaration as it was

Their declarations moved, none changed: frames, frame budget, request, stream, response and drain of the HTTP/2 listener; attempt, connection and pool of the upstream.

--- /dev/null
+++ b/front/http2/stream.go
@@ -0,0 +1,98 @@
+package http2
+
+import (
+	"time"
+
+	"yardcleat.example/yardcleat/internal/pauseclock"
+	"yardcleat.example/yardcleat/node"
+)
+
+// stream is one request.
+type stream struct {
+	conn          *conn
+	id            uint32
+	arrivedAt     time.Time // arrival time of its header
+	request       node.HTTPRequest
+	contentLength int64 // -1: none was announced
+	body          []byte
+	bodyComplete  bool          // the end of the request was received
+	sendWindow    int64         // bytes that may be sent on the stream
+	aborted       bool          // reset, timed out, or its connection has ended
+	abortSignal   chan struct{} // closed when aborted is set
+	bodyTimer     *time.Timer   // runs until the body is complete
+	claimed       bool          // a goroutine responds to it, or it was aborted
+}
+
+// claim reports whether the caller is to respond to a stream, and reserves the stream for it.
+// The result is false if the stream was claimed before or was aborted.
+func (c *conn) claim(st *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if st.claimed || st.aborted {
+		return false
+	}
+	st.claimed = true
+	return true
+}
+
+// abortStream aborts the stream with the ID, if there is one.
+func (c *conn) abortStream(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if st := c.streams[id]; st != nil {
+		c.abortLocked(st)
+	}
+}
+
+// abortLocked aborts a stream. If a goroutine responds to the stream, that goroutine removes it.
+// c.mu must be held.
+func (c *conn) abortLocked(st *stream) {
+	if st.aborted {
+		return
+	}
+	st.aborted = true
+	close(st.abortSignal)
+	if st.bodyTimer != nil {
+		st.bodyTimer.Stop()
+	}
+	c.changed.Broadcast()
+	if !st.claimed {
+		st.claimed = true
+		c.removeLocked(st)
+	}
+}
+
+// removeLocked removes a stream. When the last one is removed, it starts the idle timeout or, if
+// the connection has drained, ends it. c.mu must be held.
+func (c *conn) removeLocked(st *stream) {
+	if c.streams[st.id] != st {
+		return
+	}
+	delete(c.streams, st.id)
+	c.bufferedBodyBytes -= int64(len(st.body))
+	if len(c.streams) == 0 {
+		c.setReadDeadlineLocked(time.Now().Add(c.server.options.IdleTimeout))
+		c.endIfDrainedLocked()
+	}
+	c.changed.Broadcast()
+}
+
+// isAborted reports whether the stream is reset, timed out, or ended with its connection.
+func (s *stream) isAborted() bool {
+	select {
+	case <-s.abortSignal:
+		return true
+	default:
+		return false
+	}
+}
+
+// maxReceiveWait is how long AwaitReceived waits at most. A connection on which more arrives than is handled would
+// hold up its requests for this long.
+const maxReceiveWait = 5 * time.Millisecond
+
+// AwaitReceived waits until the frames that the client has sent by now are handled: one may reset the stream.
+func (s *stream) AwaitReceived() { pauseclock.AwaitRead(s.conn.netConn, maxReceiveWait) }
+
+// Disconnected reports whether the stream is aborted or the client has closed the connection.
+func (s *stream) Disconnected() bool { return s.isAborted() || pauseclock.PeerClosed(s.conn.netConn) }
