Soak: a node counts as ready once this test's own servers have received its request

Readiness was a response that names the request, which servers of another test give as well.

Shown by a trial in which two processes use the node of the first (an address forced on the second): the second now ends with "the node's servers are not those of this test"; without that check it ends with "servers received no request", and the first with 485 times "servers received request ..., which no client has sent".

--- a/cmd/yardcleat/process_testbed_test.go
+++ b/cmd/yardcleat/process_testbed_test.go
@@ -101,12 +101,12 @@
 	case <-p.exited:
 		t.Fatalf("the node did not start: %v: %s", p.err, p.log)
 	}
-	p.waitUntilReady()
+	p.waitUntilReady(servers)
 	return p
 }
 
-// waitUntilReady waits until the node responds to a request with the response of one of its servers.
-func (p *nodeProcess) waitUntilReady() {
+// waitUntilReady waits until the node responds to a request with the response of one of the servers.
+func (p *nodeProcess) waitUntilReady(servers *serverGroup) {
 	p.t.Helper()
 	id := p.requestID(readinessNumber)
 	probe := requestText(p.edge, classIdempotent, id, longestDeadline)
@@ -117,6 +117,9 @@
 			response, readErr := client.read(time.Now().Add(time.Second))
 			_ = conn.Close()
 			if err == nil && readErr == nil && response.status == http.StatusOK && strings.HasPrefix(response.body, "for "+id) {
+				if !servers.hasReceived(id) {
+					p.t.Fatal("the node's servers are not those of this test")
+				}
 				return
 			}
 		}
@@ -311,6 +314,13 @@
 	_, _ = io.WriteString(w, "for "+id+strings.Repeat(".", s.paddingBytes)) // the node may have closed the connection
 }
 
+// hasReceived reports whether a server has received the request with an ID.
+func (f *serverGroup) hasReceived(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests[id] != nil
+}
+
 func (f *serverGroup) record(id string, r *http.Request) {
 	class := classIdempotent
 	switch {
