--- a/policy/actions.go
+++ b/policy/actions.go
@@ -32,7 +32,7 @@
 	ReasonQuotaExceeded
 
 	// ReasonInFlightLimit means that the customer's cap on attempts in flight was reached for too long, or
-	// that the quota leader that queued the request was lost without leaving another request unanswered.
+	// that the quota leader that queued the request stopped responding.
 	ReasonInFlightLimit
 
 	// ReasonCeilingExceeded means that the share of the customer's hard ceiling that the deciding gateway
@@ -51,7 +51,7 @@
 	ReasonNoTime
 
 	// ReasonNoQuotaLeader means that the quota leaders of the customer did not respond, and that the request
-	// could not be admitted without them; or that the leader that had queued it stopped responding.
+	// could not be admitted without them.
 	ReasonNoQuotaLeader
 
 	// ReasonAttemptsExhausted means that attempts were made, and no further one is allowed.
--- a/policy/lease_client.go
+++ b/policy/lease_client.go
@@ -39,38 +39,17 @@
 	lastTag          uint32
 	responseRate     float64       // weighted average share of lease requests that are answered
 	meanResponseTime time.Duration // weighted average
-	contacts         map[int]*leaderContact
 }
 
-// leaderContact is what tells this gateway whether a leader is lost.
-type leaderContact struct {
-	heardAt      time.Duration // time of the leader's last lease response
-	unansweredAt time.Duration // when a lease request was last left unanswered; 0: none was
-}
-
-// isLost reports whether the leader has left a lease request unanswered since its last response.
-func (c *leaderContact) isLost() bool { return c.unansweredAt > c.heardAt }
-
 func newLeaseClient(firstTag uint32) leaseClient {
 	return leaseClient{
 		pending:          map[uint32]*request{},
 		lastTag:          firstTag,
 		responseRate:     1,
 		meanResponseTime: minResponseWait,
-		contacts:         map[int]*leaderContact{},
 	}
 }
 
-// contact returns the contact with a leader.
-func (l *leaseClient) contact(leader int) *leaderContact {
-	c := l.contacts[leader]
-	if c == nil {
-		c = &leaderContact{}
-		l.contacts[leader] = c
-	}
-	return c
-}
-
 // leadersUnresponsive reports whether fewer than minResponseRate of the lease requests are answered.
 func (l *leaseClient) leadersUnresponsive() bool { return l.responseRate < minResponseRate }
 
@@ -200,7 +179,8 @@
 }
 
 // handleLeaseTimer repeats the lease requests that had no response in time. A request that the leader queued
-// is rejected when the wait is over, see queuedRejection.
+// is rejected with ReasonInFlightLimit when the wait is over: the cap was reached for too long, or the leader
+// stopped responding; this gateway cannot distinguish the two.
 func (g *Gateway) handleLeaseTimer() {
 	waiting := g.leases.waiting
 	g.leases.waiting = nil
@@ -211,25 +191,13 @@
 		case g.now+g.settings.Resolution <= r.lease.waitUntil: // the timer may be early by its resolution
 			g.leases.waiting = append(g.leases.waiting, r)
 		case r.lease.queuedAtLeader:
-			g.reject(r, g.queuedRejection(r))
+			g.reject(r, ReasonInFlightLimit)
 		default:
-			g.leases.contact(r.lease.key.gateway).unansweredAt = g.now
 			g.requestLease(r)
 		}
 	}
 }
 
-// queuedRejection returns the reason for rejecting a request that the leader has queued. The leader's own
-// rejection comes at its next tick, which is too late to be waited for. A leader that has left a lease
-// request unanswered since its last response is taken to be lost, and the queue with it; otherwise the cap
-// was reached for too long.
-func (g *Gateway) queuedRejection(r *request) Reason {
-	if g.leases.contact(r.lease.key.gateway).isLost() {
-		return ReasonNoQuotaLeader
-	}
-	return ReasonInFlightLimit
-}
-
 // handleLeaseResponse carries out a leader's decision on a lease request. It ignores a response from a
 // gateway other than the one that was sent the request, or to a lease request that is not pending.
 func (g *Gateway) handleLeaseResponse(from int, m leaseResponse) {
@@ -237,7 +205,6 @@
 	if r == nil || r.lease.key.gateway != from || r.done {
 		return
 	}
-	g.leases.contact(from).heardAt = g.now
 	g.learnFromLeader(r, m)
 	if m.Decision == leaseQueued {
 		r.lease.queuedAtLeader = true
