--- a/internal/pauseclock/tcp_linux_test.go
+++ b/internal/pauseclock/tcp_linux_test.go
@@ -11,24 +11,29 @@
 	"yardcleat.example/yardcleat/pause"
 )
 
-// A TCP read long after the bytes arrived must return the kernel's arrival time, not the time of
-// the read. A read at the end of the connection must mark its socket as finished.
-func TestLateTCPReadHasTheKernelsArrivalTime(t *testing.T) {
+// connectOnLoopback returns the two ends of a connection, of which a clock watches the second until the test ends.
+func connectOnLoopback(t *testing.T) (peer, conn net.Conn) {
+	t.Helper()
 	clock := New(time.Now(), network.OS{}, pause.DefaultSettings())
-	defer clock.Close()
+	t.Cleanup(clock.Close)
 	listener, err := clock.WatchNetwork(network.OS{}).Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	peer, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
+	if peer, err = net.Dial("tcp", listener.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	conn, err := listener.Accept()
-	if err != nil {
+	if conn, err = listener.Accept(); err != nil {
 		t.Fatal(err)
 	}
+	return peer, conn
+}
+
+// A TCP read long after the bytes arrived must return the kernel's arrival time, not the time of
+// the read. A read at the end of the connection must mark its socket as finished.
+func TestLateTCPReadHasTheKernelsArrivalTime(t *testing.T) {
+	peer, conn := connectOnLoopback(t)
 	defer func() { _ = conn.Close() }()
 	buffer := make([]byte, 10)
 	// The first socket of a machine that enables timestamps receives them only after a short delay.
@@ -72,21 +77,7 @@
 // reader that has not caught up, but no longer than its timeout. Otherwise requests are sent to servers for
 // clients that have disconnected.
 func TestCloseBehindUnreadBytesIsSeen(t *testing.T) {
-	clock := New(time.Now(), network.OS{}, pause.DefaultSettings())
-	defer clock.Close()
-	listener, err := clock.WatchNetwork(network.OS{}).Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	peer, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	peer, conn := connectOnLoopback(t)
 	if _, err := peer.Write([]byte("unread")); err != nil {
 		t.Fatal(err)
 	}
