--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -45,7 +45,7 @@
 func play(o *platform.Options) (broken bool, err error) {
 	list := platform.NewEndpointList()
 	for i := range serverCount {
-		s, err := platform.NewAppServer(fmt.Sprintf("s-%d", i+1), i/2+1, serve)
+		s, err := platform.NewAppServer(fmt.Sprintf("s-%d", i+1), i/2+1, platform.AnyAddress, serve)
 		if err != nil {
 			return false, err
 		}
--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -12,9 +12,12 @@
 	server   *http.Server
 }
 
-// NewAppServer starts an app server.
-func NewAppServer(name string, group int, serve http.HandlerFunc) (*AppServer, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// AnyAddress is a loopback address with any free port.
+const AnyAddress = "127.0.0.1:0"
+
+// NewAppServer starts an app server at an address.
+func NewAppServer(name string, group int, address string, serve http.HandlerFunc) (*AppServer, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
