--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
 for folder in review/cmd/*/; do
-	go build -o review/bin/ "./$folder"
+	go build -buildvcs=false -o review/bin/ "./$folder"
 done
