Review: records show all that was sent and run; cases end with their script

Times in the records are whole milliseconds, which no longer look like addresses. The stand-ins end the nodes if the script is ended by SIGKILL.

--- a/review/case.sh
+++ b/review/case.sh
@@ -19,7 +19,7 @@
 	rm -rf "$folder"
 }
 trap finish EXIT
-trap 'exit 2' INT TERM
+trap 'exit 2' INT TERM HUP
 "review/bin/case$number" -folder "$folder" -record "$record" -trouble="${TROUBLE:-1}" &
 play=$!
 pids+=("$play")
--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -29,7 +29,6 @@
 	requestTime   = 2 * time.Second
 	clientCount   = 4 // at each node
 	clientPause   = 100 * time.Millisecond
-	answerGrace   = 500 * time.Millisecond // by which an answer may be late and is not lost
 	serviceTime   = 20 * time.Millisecond
 	badClientDue  = 3 * time.Second // within which a bad client is owed an error or a close
 )
@@ -38,14 +37,14 @@
 
 // results counts the requests of the usual clients of one node.
 type results struct {
-	mu                   sync.Mutex
-	sent, answered, lost int
+	mu                       sync.Mutex
+	answered, lost, notTaken int
 }
 
 func play(o *platform.Options) (broken bool, err error) {
 	list := platform.NewEndpointList()
 	for i := range serverCount {
-		s, err := platform.NewAppServer(fmt.Sprintf("s-%d", i+1), i/2+1, platform.AnyAddress, serve)
+		s, err := platform.NewAppServer(fmt.Sprintf("s-%d", i+1), i/2+1, platform.AnyAddress, serve(fmt.Sprintf("s-%d", i+1), o.Record))
 		if err != nil {
 			return false, err
 		}
@@ -67,6 +66,7 @@
 		if err != nil {
 			return false, err
 		}
+		o.Record.Printf("node %d: is held up for %d ms and runs for %d ms, in turn, from now on", i, stopTime.Milliseconds(), runTime.Milliseconds())
 		playing.Go(func() { giveShare(pid, stop) })
 		for range clientCount {
 			playing.Go(func() { sendRequests(n, &counts[i], o.Record, stop) })
@@ -91,10 +91,15 @@
 	}
 }
 
-func serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	time.Sleep(serviceTime)
-	_, _ = io.WriteString(w, "answer to "+r.Header.Get("X-Correlation-Id"))
+// serve returns the handler of an app server, which runs each request that it gets.
+func serve(name string, record *platform.Record) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Correlation-Id")
+		_, _ = io.Copy(io.Discard, r.Body)
+		record.Printf("%s: runs %s", name, id)
+		time.Sleep(serviceTime)
+		_, _ = io.WriteString(w, "answer to "+id)
+	}
 }
 
 // giveShare has a node run for a part of the time only, until stop is closed.
@@ -113,7 +118,7 @@
 
 // sendRequests sends requests to a node, one after another.
 func sendRequests(n platform.Node, counts *results, record *platform.Record, stop <-chan struct{}) {
-	client := platform.NewClient(n.Listen)
+	client := platform.NewClient(n, record)
 	defer client.Close()
 	for i := 0; ; i++ {
 		select {
@@ -126,20 +131,21 @@
 			r.Class, r.Key = "loan-change", "key-"+r.ID
 		}
 		a := client.Do(r)
-		record.Printf("node %d: %s %s: status %d after %v, error %v", n.Number, r.Class, r.ID, a.Status, a.Elapsed.Round(time.Millisecond), a.Err)
-		counts.add(a)
+		counts.add(a, a.Lost(&r))
 	}
 }
 
-func (c *results) add(a platform.Answer) {
+func (c *results) add(a platform.Answer, lost bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sent++
-	if a.Status == 0 || a.Elapsed > requestTime+answerGrace {
+	switch {
+	case !a.Taken:
+		c.notTaken++
+	case lost:
 		c.lost++
-		return
+	default:
+		c.answered++
 	}
-	c.answered++
 }
 
 // runBadClient is the bad client: it does the same again as soon as it is turned away.
@@ -193,7 +199,7 @@
 func judge(counts *[nodeCount]results, record *platform.Record) (broken bool) {
 	for i := range counts {
 		c := &counts[i]
-		record.Printf("judge: node %d: %d requests of usual clients, %d answered, %d lost", i, c.sent, c.answered, c.lost)
+		record.Printf("judge: node %d: %d requests of usual clients taken, %d answered, %d lost; %d not taken, which do not count", i, c.answered+c.lost, c.answered, c.lost, c.notTaken)
 		broken = broken || c.lost > 0
 	}
 	if !broken {
--- a/review/cmd/case2/main.go
+++ b/review/cmd/case2/main.go
@@ -75,7 +75,7 @@
 
 // sendLookups sends lookups to a node, one after another, so that most connections to app servers come up in time.
 func (w *world) sendLookups(n platform.Node, customer uint64, stop <-chan struct{}) {
-	client := platform.NewClient(n.Listen)
+	client := platform.NewClient(n, w.record)
 	defer client.Close()
 	for {
 		select {
@@ -94,11 +94,9 @@
 		n := nodes[i%len(nodes)]
 		id := platform.NewID()
 		r := platform.Request{ID: id, Class: "loan-change", Key: "loan-" + id, Customer: 100, Time: requestTime, Nodes: nodeCount}
-		w.record.Printf("client: sends loan %s with key %s to node %d", id, r.Key, n.Number)
-		client := platform.NewClient(n.Listen)
+		client := platform.NewClient(n, w.record)
 		a := client.Do(r)
 		client.Close()
-		w.record.Printf("client: loan %s answered with status %d after %v, error %v", id, a.Status, a.Elapsed.Round(time.Millisecond), a.Err)
 		time.Sleep(max(0, loanInterval-a.Elapsed))
 	}
 }
@@ -111,7 +109,7 @@
 	for key, k := range w.keys {
 		if k.runs > 1 {
 			twice++
-			w.record.Printf("judge: %s has run %d times", key, k.runs)
+			w.record.Printf("judge: %s has run %d times; a second attempt was allowed for %d ms after the first", key, k.runs, (window + windowSlack).Milliseconds())
 		}
 	}
 	w.record.Printf("judge: %d of %d keys have run more than once; %d of %d connections to app servers came up late or may have",
--- a/review/cmd/case2/servers.go
+++ b/review/cmd/case2/servers.go
@@ -100,6 +100,7 @@
 	}
 	id, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key")
 	if key == "" {
+		s.world.record.Printf("%s: runs lookup %s", s.name, id)
 		time.Sleep(lookupWork)
 		w.Header().Set("Connection", "close") // so that most attempts of lookups make a connection
 		_, _ = io.WriteString(w, "record for "+id)
@@ -111,8 +112,8 @@
 // serveLoan runs a loan, unless the group still remembers its key.
 func (s *server) serveLoan(w http.ResponseWriter, id, key string, size int) {
 	fails, run, age := s.world.begin(key, s.group)
-	s.world.record.Printf("%s (group %d): got loan %s whole, %d bytes, %v after its first attempt: run %t", s.name, s.group, key, size,
-		age.Round(time.Millisecond), run)
+	s.world.record.Printf("%s (group %d): got loan %s whole, %d bytes, %d ms after its first attempt: run %t", s.name, s.group, key, size,
+		age.Milliseconds(), run)
 	if !fails {
 		_, _ = io.WriteString(w, "loan for "+id)
 		return
--- a/review/cmd/case3/main.go
+++ b/review/cmd/case3/main.go
@@ -52,7 +52,7 @@
 	stop := make(chan struct{})
 	var lookups sync.WaitGroup
 	for _, n := range nodes {
-		lookups.Go(func() { sendLookups(n, stop) })
+		lookups.Go(func() { sendLookups(n, o.Record, stop) })
 	}
 	if err := w.replaceServers(); err != nil {
 		return false, err
@@ -74,8 +74,8 @@
 }
 
 // sendLookups sends lookups to a node, one after another, until stop is closed.
-func sendLookups(n platform.Node, stop <-chan struct{}) {
-	client := platform.NewClient(n.Listen)
+func sendLookups(n platform.Node, record *platform.Record, stop <-chan struct{}) {
+	client := platform.NewClient(n, record)
 	defer client.Close()
 	for {
 		select {
@@ -91,14 +91,12 @@
 func (w *world) sendLoans(nodes []platform.Node) {
 	clients := [nodeCount]*platform.Client{}
 	for i, n := range nodes {
-		clients[i] = platform.NewClient(n.Listen)
+		clients[i] = platform.NewClient(n, w.record)
 		defer clients[i].Close()
 	}
 	for i := range loans {
 		id := platform.NewID()
-		w.record.Printf("client: sends loan %s to node %d", id, i%nodeCount)
-		a := clients[i%nodeCount].Do(platform.Request{ID: id, Class: "loan-change", Key: "loan-" + id, Customer: 100, Time: requestTime, Nodes: nodeCount})
-		w.record.Printf("client: loan %s answered with status %d after %v, error %v", id, a.Status, a.Elapsed.Round(time.Millisecond), a.Err)
+		clients[i%nodeCount].Do(platform.Request{ID: id, Class: "loan-change", Key: "loan-" + id, Customer: 100, Time: requestTime, Nodes: nodeCount})
 		time.Sleep(loanInterval)
 	}
 }
@@ -107,8 +105,11 @@
 func (w *world) judge() (broken bool, err error) {
 	keys, twice := w.keys.Count()
 	late := w.lateAtDraining.Load()
+	for _, key := range w.keys.Twice() {
+		w.record.Printf("judge: %s has run more than once", key)
+	}
 	w.record.Printf("judge: %d of %d keys have run more than once", twice, keys)
-	w.record.Printf("judge: %d attempts came to the draining app server later than %v after the change", late, toldAfter+drainGrace)
+	w.record.Printf("judge: %d attempts came to the draining app server later than %d ms after the change", late, (toldAfter + drainGrace).Milliseconds())
 	if keys < loans/2 {
 		return false, fmt.Errorf("only %d of %d loans reached an app server", keys, loans)
 	}
--- a/review/cmd/case3/servers.go
+++ b/review/cmd/case3/servers.go
@@ -91,6 +91,7 @@
 	}
 	time.Sleep(20 * time.Millisecond)
 	if key == "" {
+		w.record.Printf("%s (group %d): runs lookup %s", name, group, id)
 		_, _ = io.WriteString(rw, "record for "+id)
 		return
 	}
@@ -108,7 +109,7 @@
 	if after > toldAfter+drainGrace {
 		w.lateAtDraining.Add(1)
 	}
-	w.record.Printf("s-3: got %s %v after discovery has it as draining; turns it away", id, after.Round(time.Millisecond))
+	w.record.Printf("s-3: got %s %d ms after discovery had it as draining; turns it away", id, after.Milliseconds())
 	rw.Header().Set("X-Unprocessed", "1")
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/review/platform/keys.go
+++ b/review/platform/keys.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -57,12 +58,21 @@
 
 // Count returns the number of keys, and of those that have run more than once.
 func (k *Keys) Count() (keys, twice int) {
+	repeated := k.Twice()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, memory := range k.keys {
+	return len(k.keys), len(repeated)
+}
+
+// Twice returns the keys that have run more than once, in order.
+func (k *Keys) Twice() (keys []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key, memory := range k.keys {
 		if memory.runs > 1 {
-			twice++
+			keys = append(keys, key)
 		}
 	}
-	return len(k.keys), twice
+	slices.Sort(keys)
+	return keys
 }
--- a/review/platform/play.go
+++ b/review/platform/play.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit statuses of a case.
@@ -26,6 +28,25 @@
 	return os.WriteFile(filepath.Join(o.Folder, "ready"), nil, 0o600)
 }
 
+// parentInterval is the time between two looks whether the script still runs.
+const parentInterval = 200 * time.Millisecond
+
+// endWithScript ends the nodes and this process once the script has ended without doing so, for example by SIGKILL.
+func (o *Options) endWithScript(script int) {
+	for os.Getppid() == script {
+		time.Sleep(parentInterval)
+	}
+	paths, _ := filepath.Glob(filepath.Join(o.Folder, "pid-*"))
+	for _, path := range paths {
+		n := Node{PIDPath: path}
+		if pid, err := n.PID(); err == nil {
+			_ = syscall.Kill(pid, syscall.SIGKILL)
+		}
+	}
+	_ = os.RemoveAll(o.Folder)
+	os.Exit(statusNotRun)
+}
+
 // Main plays a case and exits. play returns whether the rule was broken; its error means that the case could not run.
 func Main(play func(o *Options) (broken bool, err error)) {
 	folder := flag.String("folder", "", "temporary folder")
@@ -38,6 +59,8 @@
 		os.Exit(statusNotRun)
 	}
 	o := &Options{Folder: *folder, Record: record, Trouble: *trouble}
+	record.Printf("%s, with the disruption: %t; times are since the start, all addresses are loopback ones", filepath.Base(os.Args[0]), *trouble)
+	go o.endWithScript(os.Getppid())
 	broken, err := play(o)
 	status := statusHeld
 	switch {
--- a/review/platform/record.go
+++ b/review/platform/record.go
@@ -8,7 +8,7 @@
 )
 
 // Record is the file in which a case writes what was sent, answered and run, one line each, with the time in
-// seconds since the record was begun.
+// whole milliseconds since the record was begun.
 type Record struct {
 	mu    sync.Mutex
 	file  *os.File
@@ -28,11 +28,8 @@
 func (r *Record) Printf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.file, "%9.3f %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.file, "%6d ms  %s\n", time.Since(r.begun).Milliseconds(), fmt.Sprintf(format, args...))
 }
 
-// Seconds returns a time as seconds since the record was begun.
-func (r *Record) Seconds(at time.Time) float64 { return at.Sub(r.begun).Seconds() }
-
 // Close ends the record.
 func (r *Record) Close() { _ = r.file.Close() }
