--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -182,8 +182,8 @@
 	ended := make(chan string, 1)
 	go func() {
 		first := make([]byte, 12)
-		_, _ = io.ReadFull(conn, first)
-		record.Printf("bad client: got %q after %v", first, time.Since(begun).Round(time.Millisecond))
+		n, _ := io.ReadFull(conn, first)
+		record.Printf("bad client: got %q after %d ms", first[:n], time.Since(begun).Milliseconds())
 		rest, err := io.Copy(io.Discard, conn)
 		ended <- fmt.Sprintf("%d more bytes, then %v", rest, err)
 	}()
