--- a/review/case.sh
+++ b/review/case.sh
@@ -36,6 +36,7 @@
 wait "$play"
 status=$?
 for ((i = 0; i < nodes; i++)); do
-	sed "s/^/log of node $i: /" "$folder/log-$i" >>"$record"
+	# A comma before the fractions of a second (ISO 8601), so that a time does not look like an address.
+	sed "s/\([0-9]\)\.\([0-9]*Z\) /\1,\2 /; s/^/log of node $i: /" "$folder/log-$i" >>"$record"
 done
 case $status in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
