--- a/node/loop.go
+++ b/node/loop.go
@@ -22,7 +22,7 @@
 		batch = n.takeQueue(batch)
 		if n.barrier.Raised() {
 			n.deferred = append(n.deferred, batch...)
-			recheck := n.barrier.Observe(n.now, n.options.Clock.UnreadSockets())
+			recheck := n.observeBarrier()
 			if !n.barrier.Raised() {
 				n.handleDeferred()
 				continue
@@ -97,6 +97,16 @@
 	n.now = max(n.now, now)
 }
 
+// observeBarrier lifts the barrier if it has done its work, or returns after which time to look at it again.
+func (n *Node) observeBarrier() (recheckAfter time.Duration) {
+	unread := n.options.Clock.UnreadSockets()
+	recheckAfter = n.barrier.Observe(n.now, unread)
+	if !n.barrier.Raised() && unread > 0 {
+		n.options.Log.Warn("sockets not read in time after a pause; handling requests", "unread_sockets", unread, "waiting_events", len(n.deferred))
+	}
+	return recheckAfter
+}
+
 // pausedTimeSince returns how long the process was paused between two times.
 func (n *Node) pausedTimeSince(from, to time.Duration) time.Duration {
 	return to - from - n.options.Clock.ActiveTime(from, to)
--- a/pause/settings.go
+++ b/pause/settings.go
@@ -24,7 +24,8 @@
 	SettleTime time.Duration
 
 	// MaxBarrier bounds how long a Barrier delays the event loop; 200 ms by default. A socket
-	// that is never drained delays all responses by MaxBarrier after each pause.
+	// that is never drained delays all responses by MaxBarrier after each pause. See Barrier
+	// for pauses that follow each other.
 	MaxBarrier time.Duration
 
 	// Retention is how long the Detector keeps a pause after its end; one minute by default. It
