pauseclock: a socket whose reader waits for the event loop is not waited for

Cause: after a pause the event loop waits until all sockets are read. The reader of a client that sends more ahead than is buffered stops and waits for the event loop's reply, so the two waited for each other until the limit of 200 ms. The same holds for a reader that writes a response to a client that takes nothing.

Why this works: such a reader says that it has suspended reading, and its next read takes that back. Nothing of an open request is missed: what is unread there is later requests.

Before: TestPauseDoesNotWaitForClientThatSendsAhead had its answer 224 ms after the pause (limit 200).

--- a/edgenode/repeated_pauses_test.go
+++ b/edgenode/repeated_pauses_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"yardcleat.example/yardcleat/pause"
 )
 
 // Limits of the platform: a request without an answer half a second after its time is lost; on sockets every
@@ -14,6 +16,9 @@
 	socketSlack = 50 * time.Millisecond
 )
 
+// requestsAhead is a number of requests that is more than the node reads ahead.
+const requestsAhead = 600
+
 // Guards against a node that answers nobody any more while it is paused now and then, as with part of a core, and
 // a client has sent more requests ahead than are read. Each pause must not restart the wait for that client's
 // socket.
@@ -63,9 +68,8 @@
 // sendAheadRepeatedly sends more requests at once than the node reads ahead, and again as soon as the connection
 // ends, until the returned function is called.
 func sendAheadRepeatedly(s *testbed) (stop func()) {
-	const requests = 600
 	text := strings.Builder{}
-	for i := range requests {
+	for i := range requestsAhead {
 		text.WriteString(s.requestText("lookup", fmt.Sprintf("ahead-%d", i)))
 	}
 	stopping := make(chan struct{})
@@ -115,3 +119,28 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 }
+
+// Guards against a pause after which all clients wait for a socket that cannot be read: the reader of a client that
+// sends more ahead than is buffered waits for the event loop itself.
+func TestPauseDoesNotWaitForClientThatSendsAhead(t *testing.T) {
+	simulate(t, func(s *testbed) {
+		ahead, other := s.dial(), s.dial()
+		defer closeIgnoringError(ahead)
+		defer closeIgnoringError(other)
+		time.Sleep(100 * time.Millisecond)
+		s.host.Pause()
+		text := strings.Repeat(s.requestText("lookup", ""), requestsAhead)
+		go func() { _, _ = ahead.Write([]byte(text)) }() // it blocks until the node reads
+		mustWrite(t, other, s.requestText("lookup", ""))
+		time.Sleep(100 * time.Millisecond)
+		s.host.Resume()
+		resumed := time.Now()
+		status, _ := readResponse(other)
+		if took := time.Since(resumed); status != 200 || took >= pause.DefaultSettings().MaxBarrier {
+			t.Errorf("status %d, %v after the pause", status, took)
+		}
+		if status, _ := readResponse(ahead); status < 400 {
+			t.Errorf("status %d for the client that sent too much ahead", status)
+		}
+	})
+}
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -372,6 +372,7 @@
 		c.netConn.SetReadDeadline(time.Unix(1, 0)) // ends watchForDisconnect
 		err = <-watched
 	case err = <-watched:
+		pauseclock.SuspendReading(c.netConn)
 		disconnected()
 		final = <-c.finalResponses // the node replies in any case
 		if errors.Is(err, http1.ErrPipelineTooLong) {
@@ -466,6 +467,7 @@
 
 // write writes the parts of a response within WriteTimeout. It returns false on failure.
 func (c *conn) write(parts ...[]byte) bool {
+	pauseclock.SuspendReading(c.netConn)
 	c.netConn.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
 	for _, part := range parts {
 		if _, err := c.netConn.Write(part); err != nil {
--- a/internal/pauseclock/clock_test.go
+++ b/internal/pauseclock/clock_test.go
@@ -126,6 +126,36 @@
 	})
 }
 
+// Guards against a wait for a socket that cannot be read: its reader has suspended reading until the event loop, which
+// would wait for the socket, has replied to it. From the next read on the socket counts again.
+func TestSuspendedSocketIsNotUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host, clock, conn, peer := watchedPair(t)
+		time.Sleep(time.Second)
+		host.Pause()
+		if _, err := peer.Write([]byte("more than is read")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		host.Resume()
+		clock.Now() // detects the pause
+		time.Sleep(time.Millisecond)
+		if n := clock.UnreadSockets(); n != 1 {
+			t.Errorf("%d unread sockets before reading is suspended, want 1", n)
+		}
+		SuspendReading(conn)
+		if n := clock.UnreadSockets(); n != 0 {
+			t.Errorf("%d unread sockets while reading is suspended, want 0", n)
+		}
+		if _, err := conn.Read(make([]byte, 4)); err != nil {
+			t.Fatal(err)
+		}
+		if n := clock.UnreadSockets(); n != 1 {
+			t.Errorf("%d unread sockets after a part was read, want 1", n)
+		}
+	})
+}
+
 func TestArrivalTimeIsZeroForUnwatchedConnection(t *testing.T) {
 	a, b := net.Pipe()
 	defer func() {
--- a/internal/pauseclock/conn.go
+++ b/internal/pauseclock/conn.go
@@ -40,6 +40,16 @@
 	return c != nil && c.peerClosed()
 }
 
+// SuspendReading records that the reader of a watched connection will not read before something else has happened:
+// before an event loop has replied to it, for example, or the other end has received a response. Until the next Read
+// the connection does not count as unread. An event loop that waits for unread sockets would otherwise wait for
+// a reader that waits for the event loop.
+func SuspendReading(nc net.Conn) {
+	if c := findWatched(nc); c != nil {
+		c.socket.suspended.Store(true)
+	}
+}
+
 // readPollInterval is the time between two looks of AwaitRead at a connection.
 const readPollInterval = 500 * time.Microsecond
 
@@ -111,6 +121,7 @@
 
 // Read reads from the connection and records when the returned bytes arrived.
 func (c *watchedConn) Read(b []byte) (int, error) {
+	c.socket.suspended.Store(false)
 	c.socket.reading.Store(true)
 	defer c.socket.reading.Store(false)
 	result, err := c.reader.read(b, c.socket.markEmpty)
--- a/internal/pauseclock/socket.go
+++ b/internal/pauseclock/socket.go
@@ -17,6 +17,7 @@
 	lastRead    atomicDuration // when a read last returned data
 	lastArrival atomicDuration // when the data of the last read arrived
 	reading     atomic.Bool    // a read is in progress
+	suspended   atomic.Bool    // see SuspendReading
 	finished    atomic.Bool    // the socket is at its end or was closed
 }
 
@@ -65,9 +66,10 @@
 }
 
 // drainedSince reports whether all data that arrived before t was read and processed by the
-// reader: a read is in progress again, or nothing was read since t.
+// reader: a read is in progress again, or nothing was read since t. A socket whose reader has
+// suspended reading counts as drained, because nothing is read from it before the reader goes on.
 func (s *socketState) drainedSince(t time.Duration) bool {
-	if s.finished.Load() || s.lastEmpty.Load() > t {
+	if s.finished.Load() || s.suspended.Load() || s.lastEmpty.Load() > t {
 		return true
 	}
 	if s.readable() {
