edgenode/discovery: a poll without an answer in time stays in flight

Cause: each call for the whole list was given up after 0.7 s and made anew with the same limit, which ended in the same way. The same held for calls that wait (1.7 s), for connections that come up late (0.5 s), and for SIGHUP, where each move gave up the calls in flight.

Why this works: a late call stays in flight, and another is made beside it, as often as before. An answer ends the calls made before it, so no older list follows a newer one. Eight are in flight at most, for a ninth the second oldest is given up, so discovery slower than all eight is still heard. Moves belong to the same watch. The log tells late answers from failed polls.

--- a/edgenode/discovery/watch.go
+++ b/edgenode/discovery/watch.go
@@ -2,162 +2,182 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
-	"net"
-	"strconv"
+	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/network"
 )
 
-// Options configures a watch. All fields are required.
+// Options configures a watch. All fields but Moves are required.
 type Options struct {
 	Network network.Network
-	Address string       // host:port of discovery
-	Log     *slog.Logger // gets one warning for each series of failed polls
-	Deliver func(List)   // called synchronously from the goroutine of Watch
+	Address string        // host:port of discovery
+	Moves   <-chan string // addresses to which discovery moves while the watch runs; nil: it does not move
+	Log     *slog.Logger  // gets one warning for each series of calls that failed or had no response in time
+	Deliver func(List)    // called synchronously from the goroutine of Watch
 }
 
-// Paths and parameters of the platform's discovery interface.
-const (
-	listPath       = "/discovery/hosts"
-	afterParameter = "?after="   // index of the last list received
-	waitParameter  = "&wait_ms=" // how long discovery may wait for a change of that list
-)
-
-// responseLimits has the maximum sizes of one response of discovery.
-var responseLimits = http1.Limits{MaxLineBytes: 4 << 10, MaxHeaderFields: 64, MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20}
-
-// Errors of a poll that discovery answered.
-var (
-	errNoSnapshot       = errors.New("delta update before the first snapshot")
-	errConnectionClosed = errors.New("connection closed after the response")
-)
-
-// statusError is the error of a poll that was answered with a status other than 200.
-type statusError int
-
-func (s statusError) Error() string { return fmt.Sprintf("unexpected status %d", int(s)) }
-
-// noIndex is the index before the first list is received. If the index is negative, a watch
-// requests a snapshot.
-const noIndex = -1
-
-// Watch polls discovery until ctx ends, first for a snapshot, then for changes. An invalid
-// response changes nothing; the poll is repeated after a backoff. Watch closes its connection
-// before it returns, and delivers nothing after that.
+// Watch calls discovery until ctx ends, first for a snapshot, then for changes. An invalid response changes nothing;
+// the call is repeated after a backoff. A call without a response in time stays in flight beside the next one, also
+// when discovery moves: the first response counts. Watch ends all calls before it returns, and delivers nothing
+// after that.
 func Watch(ctx context.Context, o Options) {
-	w := watcher{Options: o, index: noIndex, backoff: newBackoff()}
-	for ctx.Err() == nil {
-		err := w.pollConnection(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if !w.failing {
-			w.Log.Warn("discovery poll failed; retrying with backoff", "address", w.Address, "error", err)
-			w.failing = true
-		}
+	w := watcher{
+		Options:   o,
+		source:    source{address: o.Address},
+		index:     noIndex,
+		backoff:   newBackoff(),
+		connected: make(chan *call),
+		results:   make(chan callResult),
+		// The first call is made at once.
+		nextCall: time.NewTimer(0),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer w.running.Wait()
+	defer cancel()
+	defer w.nextCall.Stop()
+	for {
 		select {
-		case <-time.After(w.backoff.next()):
 		case <-ctx.Done():
+			return
+		case address := <-o.Moves:
+			w.moveTo(address)
+			w.startCall(ctx, nil)
+		case <-w.nextCall.C:
+			w.warnOfUnanswered()
+			w.startCall(ctx, nil)
+		case c := <-w.connected:
+			w.awaitResponse(c)
+		case result := <-w.results:
+			w.handleResult(ctx, result)
 		}
 	}
 }
 
-// watcher is the state of a watch. Only the goroutine of Watch uses it.
+// watcher is the state of a watch. Only the goroutine of Watch uses it, but for the channels and running.
 type watcher struct {
 	Options
-	index   int64 // of the last list received
-	backoff backoff
-	failing bool // the last poll failed, and the failure was logged
+	source   source
+	index    int64 // of the last list received from source, or noIndex
+	inFlight callQueue
+	nextCall *time.Timer // when the next call is due, whether or not the last one has been answered
+	backoff  backoff
+	failing  bool // a call failed or had no response in time, that was logged, and none had one in time since
+
+	connected chan *call // calls for which a connection was made
+	results   chan callResult
+	running   sync.WaitGroup // the goroutines of the calls in flight
 }
 
-func (w *watcher) hasList() bool { return w.index >= 0 }
+// moveTo makes an address the source of the next calls. Calls to the last source that are in flight may still be
+// answered before it.
+func (w *watcher) moveTo(address string) {
+	w.source = source{address: address, number: w.source.number + 1}
+	w.index = noIndex
+	w.backoff.reset()
+}
 
-// pollConnection polls over one connection until a poll fails or ctx ends. Its error is never nil.
-func (w *watcher) pollConnection(ctx context.Context) error {
-	connection, err := w.dial(ctx)
-	if err != nil {
-		return err
+// startCall makes a call on an idle connection, or on a new one if it is nil.
+func (w *watcher) startCall(ctx context.Context, conn *connection) {
+	ctx, abandon := context.WithCancel(ctx)
+	c := &call{source: w.source, after: w.index, abandon: abandon}
+	if givenUp := w.inFlight.add(c); givenUp != nil {
+		givenUp.abandon()
 	}
-	defer closeQuietly(connection)
-	stop := context.AfterFunc(ctx, func() { interrupt(connection) })
-	defer stop()
-	reader := http1.NewReader(connection, responseLimits)
-	for {
-		list, keepAlive, err := w.poll(ctx, connection, reader)
-		if err != nil {
-			return err
+	if conn != nil {
+		w.awaitResponse(c)
+	} else {
+		w.nextCall.Reset(connectGrace)
+	}
+	w.running.Go(func() {
+		result := w.runCall(ctx, c, conn)
+		select {
+		case w.results <- result:
+		case <-ctx.Done():
+			result.closeConnection()
 		}
-		if !list.Snapshot && !w.hasList() {
-			return errNoSnapshot
+	})
+}
+
+// runCall makes a call on an idle connection, or on a new one if it is nil. It runs in a goroutine of its own.
+func (w *watcher) runCall(ctx context.Context, c *call, conn *connection) callResult {
+	if conn == nil {
+		var err error
+		if conn, err = dial(ctx, w.Network, c.source.address); err != nil {
+			return callResult{call: c, err: err}
 		}
-		w.index = list.Index
-		w.backoff.reset()
-		w.failing = false
-		w.Deliver(list)
-		if !keepAlive {
-			return errConnectionClosed
+		select {
+		case w.connected <- c:
+		case <-ctx.Done():
 		}
 	}
+	return c.run(ctx, conn)
 }
 
-func (w *watcher) dial(ctx context.Context) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	return w.Network.Dial(ctx, w.Address)
+// awaitResponse has the next call made if a call that is sent now has no response in time, unless a later call is in
+// flight already.
+func (w *watcher) awaitResponse(c *call) {
+	if w.inFlight.isLatest(c) {
+		w.nextCall.Reset(c.wait() + responseGrace)
+	}
 }
 
-// poll sends one poll and reads its response. keepAlive reports whether the connection can be
-// reused.
-func (w *watcher) poll(ctx context.Context, connection net.Conn, reader *http1.Reader) (list List, keepAlive bool, err error) {
-	target, wait := w.target()
-	if err := connection.SetDeadline(time.Now().Add(wait + responseGrace)); err != nil {
-		return List{}, false, err
-	}
-	if ctx.Err() != nil { // the deadline set above may have overridden that of interrupt
-		return List{}, false, ctx.Err()
+// handleResult handles the result of a call, unless the call was given up.
+func (w *watcher) handleResult(ctx context.Context, r callResult) {
+	defer r.call.abandon() // releases the resources of the context
+	if !w.inFlight.contains(r.call) {
+		r.closeConnection()
+		return
 	}
-	request := http1.AppendRequest(nil, "GET", target, w.Address, nil, nil)
-	if _, err := connection.Write(request); err != nil {
-		return List{}, false, err
+	latest := w.inFlight.isLatest(r.call)
+	if r.err != nil {
+		w.inFlight.removeFailed(r.call)
+		if latest {
+			w.callAfterBackoff(r.err)
+		}
+		return
 	}
-	head, err := reader.Response("GET")
-	if err != nil {
-		return List{}, false, err
+	for _, older := range w.inFlight.removeAnswered(r.call) {
+		older.abandon()
 	}
-	body, err := reader.Body(head.Framing, head.Length)
-	if err != nil {
-		return List{}, false, err
+	if r.call.source == w.source {
+		w.index = r.list.Index
 	}
-	if head.Status != 200 {
-		return List{}, false, statusError(head.Status)
+	w.backoff.reset()
+	w.failing = w.failing && !latest
+	w.Deliver(r.list)
+	switch {
+	case !latest: // the calls made after it are in flight
+		r.closeConnection()
+	case r.connection == nil:
+		w.callAfterBackoff(errConnectionClosed)
+	default:
+		w.startCall(ctx, r.connection)
 	}
-	list, err = Parse(body)
-	return list, head.KeepAlive(), err
 }
 
-// target returns the request target of the next poll, and how long discovery may hold the poll.
-func (w *watcher) target() (target string, wait time.Duration) {
-	if !w.hasList() {
-		return listPath, 0
+// callAfterBackoff has the next call made after a backoff, because the last one has failed.
+func (w *watcher) callAfterBackoff(err error) {
+	if !w.failing {
+		w.Log.Warn("discovery poll failed; retrying with backoff", "address", w.source.address, "error", err)
+		w.failing = true
 	}
-	index := strconv.FormatInt(w.index, 10)
-	milliseconds := strconv.FormatInt(longPollTime.Milliseconds(), 10)
-	return listPath + afterParameter + index + waitParameter + milliseconds, longPollTime
+	w.nextCall.Reset(w.backoff.next())
 }
 
-// interrupt aborts a poll in flight. Setting the deadline fails only if the connection is closed,
-// and then no poll is in flight.
-func interrupt(connection net.Conn) {
-	_ = connection.SetDeadline(time.Unix(1, 0))
+// warnOfUnanswered warns if the last call has no response in time.
+func (w *watcher) warnOfUnanswered() {
+	if !w.failing && len(w.inFlight.calls) > 0 {
+		w.Log.Warn("discovery answers late; polling again beside the polls in flight", "address", w.source.address,
+			"polls_in_flight", len(w.inFlight.calls))
+		w.failing = true
+	}
 }
 
-// closeQuietly closes a connection and ignores the error: the connection is no longer used, and
-// the error that ended its use has been reported.
-func closeQuietly(connection net.Conn) {
-	_ = connection.Close()
+// closeConnection closes the connection of a result, if it has one.
+func (r *callResult) closeConnection() {
+	if r.connection != nil {
+		closeQuietly(r.connection)
+	}
 }
--- a/edgenode/edge.go
+++ b/edgenode/edge.go
@@ -31,7 +31,7 @@
 //   - connections to servers: pool, stopped by its Close;
 //   - the receiver of datagrams from peers: peer.PlainTransport, stopped by its Close;
 //   - the loop of the node: background.Go, which cancels its context and waits;
-//   - the discovery watch: stopWatch, called by watchDiscovery;
+//   - the discovery watch: stopWatch, which cancels its context and waits;
 //   - the accept loop: serving, stopped by closing the listener;
 //   - connections of clients: front, stopped by its Drain.
 //
@@ -57,8 +57,9 @@
 	endpoints      *discovery.EndpointTable // guarded by endpointsMutex
 
 	watchMutex       sync.Mutex
-	stopWatch        func() // guarded by watchMutex
-	discoveryAddress string // guarded by watchMutex; "" if no watch runs
+	cancelWatch      func()        // cancels the discovery watch and waits until it has ended
+	discoveryAddress string        // guarded by watchMutex; "" if no watch runs
+	discoveryMoves   chan<- string // received from for as long as the watch runs; sends are guarded by watchMutex
 }
 
 // Start starts an edge node, which runs until Drain. Its goroutines inherit the values of ctx,
--- a/edgenode/endpoints.go
+++ b/edgenode/endpoints.go
@@ -41,39 +41,34 @@
 
 // startWatch starts the discovery watch, which runs until the node is closed.
 func (e *Edge) startWatch(ctx context.Context, address string) {
-	e.watchDiscovery(ctx, address)
-	e.closers.Add(func() { e.watchDiscovery(ctx, "") })
-}
-
-// watchDiscovery stops the discovery watch, waits until it has ended, and starts one at the
-// given address; "" starts none.
-func (e *Edge) watchDiscovery(ctx context.Context, address string) {
-	e.watchMutex.Lock()
-	defer e.watchMutex.Unlock()
-	e.watchDiscoveryLocked(ctx, address)
-}
-
-func (e *Edge) watchDiscoveryLocked(ctx context.Context, address string) {
-	if e.stopWatch != nil {
-		e.stopWatch()
-		e.stopWatch = nil
-	}
-	e.discoveryAddress = address
-	if address == "" {
-		return
-	}
+	moves := make(chan string)
 	options := discovery.Options{
 		Network: e.network,
 		Address: address,
+		Moves:   moves,
 		Log:     e.logger,
 		Deliver: e.applyWatchedList,
 	}
-	e.stopWatch = background.Go(ctx, func(ctx context.Context) { discovery.Watch(ctx, options) })
+	e.watchMutex.Lock()
+	defer e.watchMutex.Unlock()
+	e.discoveryAddress = address
+	e.discoveryMoves = moves
+	e.cancelWatch = background.Go(ctx, func(ctx context.Context) { discovery.Watch(ctx, options) })
+	e.closers.Add(e.stopWatch)
+}
+
+// stopWatch stops the discovery watch and waits until it has ended.
+func (e *Edge) stopWatch() {
+	e.watchMutex.Lock()
+	defer e.watchMutex.Unlock()
+	e.discoveryAddress = ""
+	e.cancelWatch()
 }
 
 // Reload applies the only setting that may change while the node runs: the address of
-// discovery. It waits for the previous watch to end. After the node has ended it does nothing.
-func (e *Edge) Reload(ctx context.Context, cfg *Config) {
+// discovery. The watch goes on at the new address; responses of the previous one are still
+// accepted until the new one has answered. After the node has ended Reload does nothing.
+func (e *Edge) Reload(cfg *Config) {
 	e.watchMutex.Lock()
 	defer e.watchMutex.Unlock()
 	ended := e.discoveryAddress == ""
@@ -81,5 +76,6 @@
 		return
 	}
 	e.logger.Info("discovery address changed", "from", e.discoveryAddress, "to", cfg.Discovery)
-	e.watchDiscoveryLocked(ctx, cfg.Discovery)
+	e.discoveryAddress = cfg.Discovery
+	e.discoveryMoves <- cfg.Discovery
 }
--- a/edgenode/endpoints_test.go
+++ b/edgenode/endpoints_test.go
@@ -1,7 +1,6 @@
 package edgenode
 
 import (
-	"context"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,7 +28,7 @@
 			mu.Unlock()
 		}
 		set(strings.Replace(strings.Replace(twoEndpoints, `"status":"ready"`, `"status":"draining"`, 1), `"index":7`, `"index":8`, 1))
-		s.edge.Reload(context.Background(), &Config{Discovery: "10.0.3.2:80"})
+		s.edge.Reload(&Config{Discovery: "10.0.3.2:80"})
 		time.Sleep(time.Second)
 		before := s.servers[0].requestCount()
 		for range 10 {
@@ -64,7 +63,7 @@
 			}
 			return `{"index":8,"snapshot":false,"endpoints":[{"name":"s-1","address":"10.0.1.1:80","zone":"a","group":1,"status":"gone","weight":1,"since_ms":0}]}`
 		})
-		s.edge.Reload(context.Background(), &Config{Discovery: "10.0.3.2:80"})
+		s.edge.Reload(&Config{Discovery: "10.0.3.2:80"})
 		time.Sleep(time.Second)
 		s.edge.node.InjectPolicyPanic()
 		for range 10 {
@@ -92,7 +91,7 @@
 			}
 			return strings.Replace(strings.Replace(twoEndpoints, `"status":"ready"`, `"status":"draining"`, 1), `"index":7`, `"index":8`, 1)
 		})
-		s.edge.Reload(context.Background(), &Config{Discovery: "10.0.3.2:80"})
+		s.edge.Reload(&Config{Discovery: "10.0.3.2:80"})
 		time.Sleep(4 * time.Second)
 		for range 10 {
 			s.exchange(s.requestText("lookup", ""))
@@ -103,6 +102,31 @@
 	})
 }
 
+// Guards against a node that is cut off from discovery by a SIGHUP that moves it to a discovery that answers late: a
+// server that drains there must be known 4 s after the SIGHUP.
+func TestDrainingServerIsKnownAfterMoveToSlowDiscovery(t *testing.T) {
+	for _, delay := range []time.Duration{800 * time.Millisecond, time.Second, 3 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			simulate(t, func(s *testbed) {
+				s.serveDiscovery("10.0.3.2:80", func(string) string {
+					time.Sleep(delay)
+					return strings.Replace(strings.Replace(twoEndpoints, `"status":"ready"`, `"status":"draining"`, 1), `"index":7`, `"index":8`, 1)
+				})
+				s.edge.Reload(&Config{Discovery: "10.0.3.2:80"})
+				time.Sleep(4 * time.Second)
+				for range 10 {
+					if status, _, _ := s.exchange(s.requestText("lookup", "")); status != 200 {
+						t.Errorf("status %d", status)
+					}
+				}
+				if n := s.servers[0].requestCount(); n > 0 {
+					t.Errorf("the draining server got %d requests", n)
+				}
+			})
+		})
+	}
+}
+
 // If discovery sends invalid responses or none, the node must keep its endpoint list and limit its
 // rate of polls. A new discovery address must be polled at once.
 func TestDiscoveryFailureKeepsEndpointList(t *testing.T) {
@@ -111,7 +135,7 @@
 			simulate(t, func(s *testbed) {
 				var polls atomic.Int64
 				s.serveDiscovery("10.0.3.9:80", func(string) string { polls.Add(1); return response })
-				s.edge.Reload(context.Background(), &Config{Discovery: "10.0.3.9:80"})
+				s.edge.Reload(&Config{Discovery: "10.0.3.9:80"})
 				time.Sleep(10 * time.Second)
 				if status, _, _ := s.exchange(s.requestText("lookup", "")); status != 200 {
 					t.Errorf("with the previous list: status %d", status)
@@ -119,7 +143,7 @@
 				if n := polls.Load(); n < 2 || n > 60 {
 					t.Errorf("%d polls in 10 s, want 2 to 60", n)
 				}
-				s.edge.Reload(context.Background(), &Config{Discovery: "10.0.3.1:80"})
+				s.edge.Reload(&Config{Discovery: "10.0.3.1:80"})
 				time.Sleep(time.Second)
 				if status, _, _ := s.exchange(s.requestText("lookup", "")); status != 200 {
 					t.Errorf("after the return to the previous address: status %d", status)
--- a/edgenode/invariants_test.go
+++ b/edgenode/invariants_test.go
@@ -1,7 +1,6 @@
 package edgenode
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -167,7 +166,7 @@
 			server.respond = run.respond
 		}
 		s.serveDiscovery("10.0.3.2:80", run.endpoints)
-		s.edge.Reload(context.Background(), &Config{Discovery: "10.0.3.2:80"})
+		s.edge.Reload(&Config{Discovery: "10.0.3.2:80"})
 		var clients sync.WaitGroup
 		for i := range 500 {
 			class, id := "lookup", fmt.Sprint("rough-", i)
--- a/edgenode/resource_limits.go
+++ b/edgenode/resource_limits.go
@@ -48,8 +48,8 @@
 
 // The division of file descriptors and memory.
 const (
-	// reservedSockets is the number of descriptors for the listener, the connections to the
-	// previous and the current discovery address, peers and the runtime.
+	// reservedSockets is the number of descriptors for the listener, the calls of discovery in
+	// flight, peers and the runtime.
 	reservedSockets = 24
 	// serverSocketsDivisor: a quarter of the descriptors is for connections to servers.
 	serverSocketsDivisor = 4
--- a/edgenode/run.go
+++ b/edgenode/run.go
@@ -78,7 +78,7 @@
 		select {
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				p.reload(ctx)
+				p.reload()
 			} else {
 				p.beginDrain(ctx)
 			}
@@ -102,11 +102,11 @@
 
 // reload reads the configuration again, and keeps the current one if that fails. It also works
 // during the shutdown, because the last attempts still use the endpoint list.
-func (p *process) reload(ctx context.Context) {
+func (p *process) reload() {
 	cfg, err := Read(p.configPath)
 	if err != nil {
 		p.logger.Error("configuration reload failed; keeping the current one", "error", err)
 		return
 	}
-	p.edge.Reload(ctx, cfg)
+	p.edge.Reload(cfg)
 }
