policy, upstream: a keyed retry is not written after the window for repeats

Cause: the dedup window was compared with the time of the decision only. The time that a connection takes to come up, and that a write takes, was added to it, and so was a pause of up to 0.15 s that nodes have to allow for.

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -32,7 +32,7 @@
 		n.permitForward(r, timeout)
 		return
 	}
-	n.sendUpstream(r, timeout)
+	n.sendUpstream(r, timeout, action.SendWithin)
 }
 
 // permitForward answers a Proxied request with a permit for the proxy to make the current
@@ -48,7 +48,7 @@
 }
 
 // sendUpstream makes the current attempt. Its result is enqueued as an event.
-func (n *Node) sendUpstream(r *pendingRequest, timeout time.Duration) {
+func (n *Node) sendUpstream(r *pendingRequest, timeout, sendWithin time.Duration) {
 	number := r.attempts.current()
 	endpoint := n.endpoints[r.attempts.server]
 	attempt := Attempt{
@@ -60,6 +60,9 @@
 		Request:       r.request,
 		DecidedAt:     n.wallTime(),
 	}
+	if sendWithin > 0 {
+		attempt.SendBy = attempt.DecidedAt.Add(sendWithin)
+	}
 	outgoing := n.options.Upstream.Start(attempt, func(result Result) {
 		n.enqueue(attemptFinished{request: r, attempt: number, result: result})
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -54,11 +54,11 @@
 // New returns a node that accepts requests; nothing is done for them until Run is called.
 // It returns the policy's error if the settings are invalid.
 func New(options Options) (*Node, error) {
+	options.setDefaults()
 	gateway, err := policy.New(options.Settings, options.Seed)
 	if err != nil {
 		return nil, err
 	}
-	options.setDefaults()
 	return &Node{
 		options:     options,
 		timeOrigin:  options.TimeOrigin,
--- a/node/options.go
+++ b/node/options.go
@@ -74,8 +74,15 @@
 	OnRequestDone func(*Request)
 }
 
+// maxSendDelay is the default of Settings.MaxSendDelay: the longest time for which a node of the platform is held
+// up between reading its clock and writing.
+const maxSendDelay = 150 * time.Millisecond
+
 // setDefaults sets the unset fields whose default differs from the zero value.
 func (o *Options) setDefaults() {
+	if o.Settings.MaxSendDelay == 0 {
+		o.Settings.MaxSendDelay = maxSendDelay
+	}
 	if o.TimeOrigin.IsZero() {
 		o.TimeOrigin = time.Now()
 	}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -15,6 +15,10 @@
 	Timeout       time.Duration // sent to the server; the node itself ends the attempt after it
 	Request       *Request      // must not be changed
 	DecidedAt     time.Time     // when the policy decided on the attempt
+
+	// SendBy is when the request must be sent completely, or not at all; see policy.StartAttempt. Zero: there is
+	// no such limit.
+	SendBy time.Time
 }
 
 // Result describes how an attempt ended. The node takes ownership of Response.
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -11,6 +11,11 @@
 	ID      RequestID
 	Server  ServerID
 	Timeout time.Duration // 0: no limit but the request's deadline
+
+	// SendWithin is the time from now within which the request must be sent completely. If it is not, the
+	// attempt must end: servers that drop repeats of the request may have forgotten its key by then. An
+	// attempt of which nothing was sent ends with TooLate. 0: no limit.
+	SendWithin time.Duration
 }
 
 // CancelAttempt stops waiting for an attempt, if it has not ended. Its AttemptResult must still follow.
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -33,7 +33,8 @@
 	c.pendingReports = reportRepeats
 	g.recordAttemptStart(r, s)
 	g.countSend(s)
-	g.emit(StartAttempt{ID: r.id, Server: s.ID, Timeout: g.attemptTimeout(r)})
+	sendWithin := r.timeToSend(g.now)
+	g.emit(StartAttempt{ID: r.id, Server: s.ID, Timeout: g.attemptTimeout(r), SendWithin: sendWithin})
 	return true
 }
 
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -82,7 +82,7 @@
 		g.plans[p.Name] = &customerPlan{p, byte(i)}
 	}
 	for i, c := range s.Classes {
-		g.classes[c.Name] = &requestClass{Class: c, index: i}
+		g.classes[c.Name] = &requestClass{Class: c, index: i, sendWindow: c.DedupWindow - s.MaxSendDelay}
 	}
 	g.latency = newLatencyModel(g.classes)
 	g.leases = newLeaseClient(g.rng.Uint32())
--- a/policy/latency_model.go
+++ b/policy/latency_model.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// initialLatencyDivisor is the ratio of a class's latency objective to the initial estimate of its idle
@@ -31,8 +34,9 @@
 type requestClass struct {
 	Class
 	index       int
-	idleLatency float64 // latency in seconds of an idle, warm server of average speed
-	outcomes    float64 // number of results averaged in idleLatency
+	sendWindow  time.Duration // DedupWindow less MaxSendDelay
+	idleLatency float64       // latency in seconds of an idle, warm server of average speed
+	outcomes    float64       // number of results averaged in idleLatency
 }
 
 // latencyModel holds the latencies over all classes, in seconds.
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -70,8 +70,18 @@
 	return r.inDedupWindow(now) && r.inDedupScope(s)
 }
 
+// inDedupWindow reports whether an attempt that is decided on now can still be sent within the dedup window.
 func (r *request) inDedupWindow(now time.Duration) bool {
-	return now-r.firstRun.at < r.class.DedupWindow
+	return now-r.firstRun.at < r.class.sendWindow
+}
+
+// timeToSend returns the time within which an attempt must be sent, or 0 if there is no limit. The
+// decision alone does not keep the dedup window: a connection may have to come up before the write.
+func (r *request) timeToSend(now time.Duration) time.Duration {
+	if !r.firstRun.happened || r.class.Idempotency != IdempotentWithKey {
+		return 0
+	}
+	return r.firstRun.at + r.class.sendWindow - now
 }
 
 func (r *request) inDedupScope(s *server) bool {
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -67,6 +67,56 @@
 	}
 }
 
+// Guards against a second run: the window is left by a retry that is decided in time and written late, because its
+// connection comes up late or the process is paused. Each retry states the time that is left to write it, counted
+// from the first attempt that may have run.
+func TestRetryStatesTheRestOfTheDedupWindow(t *testing.T) {
+	const window, sendDelay = 2 * time.Second, 150 * ms
+	settings := baseSettings()
+	settings.MaxSendDelay = sendDelay
+	for _, c := range []struct {
+		class string
+		code  ResultCode
+		limit time.Duration // from the first attempt; 0: none
+	}{
+		{"cell", Error, window - sendDelay}, {"all", Reset, window - sendDelay}, {"safe", Error, 0}, {"cell", ConnectFailed, 0},
+	} {
+		h := newHarness(t, settings, testServers(4))
+		s := h.startAttempt(c.class, "free")
+		first := h.now
+		if s.SendWithin != 0 {
+			t.Errorf("%s: the first attempt has a limit of %v", c.class, s.SendWithin)
+		}
+		for i, wait := range []time.Duration{300 * ms, 400 * ms} {
+			h.now += wait
+			attempts := actionsOf[StartAttempt](h.finishAttempt(s, i, c.code))
+			if len(attempts) != 1 {
+				t.Fatalf("%s after %v: no retry", c.class, c.code)
+			}
+			s = attempts[0]
+			want := time.Duration(0)
+			if c.limit > 0 {
+				want = first + c.limit - h.now
+			}
+			if s.SendWithin != want {
+				t.Errorf("%s after %v, retry %d: must be sent within %v, want %v", c.class, c.code, i+1, s.SendWithin, want)
+			}
+		}
+	}
+}
+
+// Guards against a retry that is written after the window because the process is paused after the decision.
+func TestNoRetryAtTheVeryEndOfTheDedupWindow(t *testing.T) {
+	settings := baseSettings()
+	settings.MaxSendDelay = 150 * ms
+	h := newHarness(t, settings, testServers(4))
+	s := h.startAttempt("cell", "free")
+	h.now += 1900 * ms
+	if attempts := actionsOf[StartAttempt](h.finishAttempt(s, 0, Error)); len(attempts) != 0 {
+		t.Errorf("a retry %v before the end of the window: %v", 100*ms, attempts)
+	}
+}
+
 // An attempt that was withdrawn because its server drains is no sign of a failing server: it counts as a failure of
 // no class, and its retry costs no budget.
 func TestWithdrawnAttemptIsNoFailureOfItsServer(t *testing.T) {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -116,6 +116,11 @@
 	// MaxAttempts is the number of attempts allowed for one request. 0: any number.
 	MaxAttempts int
 
+	// MaxSendDelay is how long the caller may take between a look at the clock and the end of a write that
+	// follows it, for example because the process is paused. The time in which a request may be sent again
+	// ends so much before its DedupWindow. It must not be negative.
+	MaxSendDelay time.Duration
+
 	// CanCancel permits CancelAttempt. Without it the attempts of Idempotent classes that are
 	// not Streaming have a timeout instead.
 	CanCancel bool
@@ -212,6 +217,8 @@
 	switch {
 	case s.Resolution <= 0:
 		return &SettingError{"Resolution", "not above 0"}
+	case s.MaxSendDelay < 0:
+		return &SettingError{"MaxSendDelay", "negative"}
 	case s.Gateways < 1:
 		return &SettingError{"Gateways", "below 1"}
 	case s.SelfIndex < 0 || s.SelfIndex >= s.Gateways:
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -35,8 +35,13 @@
 
 // Start starts an attempt; see [node.Upstream].
 func (p *Pool) Start(a node.Attempt, done func(node.Result)) node.OutgoingAttempt {
-	ctx, cancel := context.WithTimeout(context.Background(), p.options.ConnectTimeout)
-	t := &attempt{Attempt: a, pool: p, done: done, cancelDial: cancel, startedAt: time.Now()}
+	t := &attempt{Attempt: a, pool: p, done: done, startedAt: time.Now()}
+	connectBy := t.startedAt.Add(p.options.ConnectTimeout)
+	if !a.SendBy.IsZero() && a.SendBy.Before(connectBy) {
+		connectBy = a.SendBy
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), connectBy)
+	t.cancelDial = cancel
 	if p.options.HTTP2 {
 		go t.runHTTP2(ctx)
 	} else {
@@ -122,8 +127,7 @@
 			return
 		}
 		if err != nil {
-			code, detail := attemptOutcome(beforeConnect, err)
-			t.finish(node.Result{Code: code, Detail: detail}, false)
+			t.finish(t.connectFailure(err), false)
 			return
 		}
 		t.mu.Lock()
@@ -148,6 +152,7 @@
 			if !t.startWrite() {
 				return // canceled, which has closed the connection
 			}
+			c.netConn.SetWriteDeadline(t.SendBy)
 			n, err = c.netConn.Write(buf)
 		}
 		switch {
@@ -197,6 +202,9 @@
 // MaxConnections. It is not a failure of the server.
 var resultNoConnection = node.Result{Code: policy.NoConnection, Detail: "no connection to spare"}
 
+// resultSentTooLate is the result of an attempt that is not sent because Attempt.SendBy has passed.
+var resultSentTooLate = node.Result{Code: policy.TooLate, Detail: "too late for another attempt: the server may have forgotten the key"}
+
 var errNoConnection = errors.New("upstream: all connections are in use")
 
 // expired reports whether it is too late to send the attempt; see resultTooLate.
@@ -204,12 +212,27 @@
 	return t.Timeout > 0 && time.Since(t.startedAt) >= t.Timeout || t.pool.options.PausedSince != nil && t.pool.options.PausedSince(t.DecidedAt)
 }
 
+// sendTimeOver reports whether Attempt.SendBy has passed.
+func (t *attempt) sendTimeOver() bool { return !t.SendBy.IsZero() && !time.Now().Before(t.SendBy) }
+
+// connectFailure returns the result of an attempt that got no connection. That the time to send it was over says
+// nothing about the server.
+func (t *attempt) connectFailure(err error) node.Result {
+	if t.sendTimeOver() {
+		return resultSentTooLate
+	}
+	code, detail := attemptOutcome(beforeConnect, err)
+	return node.Result{Code: code, Detail: detail}
+}
+
 // reasonNotToSend returns the result of an attempt that must not be sent any more, or nil. It is called right
 // before the request is written.
 func (t *attempt) reasonNotToSend() *node.Result {
 	switch {
 	case t.expired():
 		return &resultTooLate
+	case t.sendTimeOver():
+		return &resultSentTooLate
 	case t.Request.Client != nil && t.Request.Client.Disconnected():
 		return &node.ResultClientDisconnected
 	}
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -73,8 +73,7 @@
 func (t *attempt) runHTTP2(ctx context.Context) {
 	c, s, err := t.pool.openStream(ctx, t)
 	if err != nil {
-		code, detail := attemptOutcome(beforeConnect, err)
-		t.finish(node.Result{Code: code, Detail: detail}, false)
+		t.finish(t.connectFailure(err), false)
 		return
 	}
 	t.mu.Lock()
@@ -174,10 +173,18 @@
 
 // write calls a function that writes to the connection under the write lock and a timeout. It
 // closes the connection if the function fails.
-func (c *h2Conn) write(f func() error) error {
+func (c *h2Conn) write(f func() error) error { return c.writeBefore(time.Time{}, f) }
+
+// writeBefore does what write does. If limit is not zero and comes before the timeout, it is the time by which the
+// function must have written.
+func (c *h2Conn) writeBefore(limit time.Time, f func() error) error {
 	c.writeLock.Lock()
 	defer c.writeLock.Unlock()
-	c.netConn.SetWriteDeadline(time.Now().Add(h2WriteTimeout))
+	deadline := time.Now().Add(h2WriteTimeout)
+	if !limit.IsZero() && limit.Before(deadline) {
+		deadline = limit
+	}
+	c.netConn.SetWriteDeadline(deadline)
 	err := f()
 	if err != nil {
 		c.netConn.Close()
@@ -189,7 +196,7 @@
 // IDs must increase in the order in which streams are opened.
 func (c *h2Conn) sendRequest(s *h2Stream, call *node.HTTPRequest) error {
 	var notSent *node.Result
-	err := c.write(func() error {
+	err := c.writeBefore(s.attempt.SendBy, func() error {
 		if notSent = s.attempt.reasonNotToSend(); notSent == nil && !s.attempt.startWrite() {
 			notSent = &resultTooLate // the attempt has ended, so that the result is not reported
 		}
@@ -230,6 +237,10 @@
 		return &notSentError{*notSent} // nothing was written, so the connection can still be used
 	}
 	body := call.Body
+	if sendBy := s.attempt.SendBy; !sendBy.IsZero() && len(body) > 0 {
+		timer := time.AfterFunc(time.Until(sendBy), func() { c.failUnsent(s) })
+		defer timer.Stop()
+	}
 	for err == nil && len(body) > 0 {
 		c.mu.Lock()
 		for !s.ended && (s.sendWindow <= 0 || c.sendWindow <= 0) {
@@ -244,11 +255,22 @@
 		c.mu.Unlock()
 		part := body[:n]
 		body = body[n:]
-		err = c.write(func() error { return c.framer.WriteData(s.id, len(body) == 0, part) })
+		err = c.writeBefore(s.attempt.SendBy, func() error { return c.framer.WriteData(s.id, len(body) == 0, part) })
 	}
 	return err
 }
 
+// errSendTimeOver is the error of a request of which only a part was sent by Attempt.SendBy.
+var errSendTimeOver = errors.New("too late to send the rest")
+
+// failUnsent resets a stream whose request could not be sent completely in time.
+func (c *h2Conn) failUnsent(s *h2Stream) {
+	if c.resetStream(s, http2.ErrCodeCancel) {
+		code, detail := attemptOutcome(duringWrite, errSendTimeOver)
+		s.attempt.finish(node.Result{Code: code, Detail: detail}, false)
+	}
+}
+
 // removeStream removes a stream from the connection. It returns false if it was removed already.
 func (c *h2Conn) removeStream(s *h2Stream) bool {
 	c.mu.Lock()
@@ -268,10 +290,13 @@
 
 // resetStream resets a stream; the other streams of the connection continue. If the server has sent
 // no frame since the request of the stream, the connection may be dead: it takes no more streams,
-// and is closed when none is left.
-func (c *h2Conn) resetStream(s *h2Stream, code http2.ErrCode) {
-	if !c.removeStream(s) || s.id == 0 {
-		return
+// and is closed when none is left. It returns false if the stream was removed already.
+func (c *h2Conn) resetStream(s *h2Stream, code http2.ErrCode) bool {
+	if !c.removeStream(s) {
+		return false
+	}
+	if s.id == 0 {
+		return true
 	}
 	c.write(func() error { return c.framer.WriteRSTStream(s.id, code) })
 	c.mu.Lock()
@@ -281,6 +306,7 @@
 	if last {
 		c.netConn.Close()
 	}
+	return true
 }
 
 // failStream removes a stream and reports the failure of its attempt.
