policy: a request counts under the plan that it names, also after a move

Callers saw: a customer that moved to a plan with a hard ceiling had none.

Cause: a gateway kept the plan of a customer's first request, and so did a quota leader.

Why this works: a customer has a state for each plan that its requests name. A move starts with the share of a new customer, at each gateway when it learns of it; these shares sum to the ceiling. What was used still counts after a move back; queued requests, attempts and leases stay with their plan. A former plan is forgotten when its buckets are full, after 30 s at least. Messages and recorded decisions are the same.

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -6,12 +6,16 @@
 	"time"
 )
 
-// customer is the state that a gateway holds for one customer.
+// customer is the state that a gateway holds for one customer under one plan. Each request counts under the
+// plan that it names. A customer that moves to another plan gets another state, as a new customer would, and
+// this one is kept: what was used of its quotas still counts if the customer moves back, or if its requests
+// name both plans in turn. Gateways may learn of the move at different times.
 type customer struct {
-	key           uint64 // identifies the customer in lease messages
+	key           uint64 // identifies the customer in lease messages, together with the plan
 	reportHash    uint32 // identifies the customer in load reports
-	hashCollides  bool   // another known customer has the same reportHash
+	hashCollides  bool   // another known customer, or this one under another plan, has the same reportHash
 	plan          *customerPlan
+	otherPlan     *customer // the same customer under a plan that it had before; nil: none is known
 	lastRequestAt time.Duration
 	active        bool // is in customerTable.active
 	listIndex     int  // position in customerTable.list
@@ -109,7 +113,7 @@
 
 // customerTable holds the known customers.
 type customerTable struct {
-	byKey  map[uint64]*customer
+	byKey  map[uint64]*customer // with the plan to which the customer has moved last; see otherPlan
 	byHash map[uint32]*customer // by reportHash; nil if several customers have the same one
 
 	collisions map[uint32][]*customer // customers with the same report hash, by that hash
@@ -126,8 +130,18 @@
 	}
 }
 
-// add adds a customer that is not in the table.
+// find returns a customer under a plan, or nil if it is not known.
+func (t *customerTable) find(key uint64, plan string) *customer {
+	c := t.byKey[key]
+	for c != nil && c.plan.Name != plan {
+		c = c.otherPlan
+	}
+	return c
+}
+
+// add adds a customer that is not in the table under its plan.
 func (t *customerTable) add(c *customer) {
+	c.otherPlan = t.byKey[c.key]
 	t.byKey[c.key] = c
 	t.addHash(c)
 	c.listIndex = len(t.list)
@@ -135,11 +149,16 @@
 }
 
 // evictIdle removes the customers that are not in use and have made no request for customerIdleTimeout, or
-// for the time in which their buckets fill up if that is longer.
+// for the time in which their buckets fill up if that is longer. A plan that the customer has left is removed
+// after formerPlanTimeout: as long as it is known, load reports cannot include the customer.
 func (t *customerTable) evictIdle(now time.Duration) {
 	t.list = slices.DeleteFunc(t.list, func(c *customer) bool {
+		timeout := customerIdleTimeout
+		if t.byKey[c.key] != c {
+			timeout = formerPlanTimeout
+		}
 		inUse := c.inFlight.count > 0 || len(c.queued) > 0 || c.active
-		if inUse || now-c.lastRequestAt <= max(customerIdleTimeout, c.plan.fillTime()) {
+		if inUse || now-c.lastRequestAt <= max(timeout, c.plan.fillTime()) {
 			return false
 		}
 		t.unlink(c)
@@ -148,10 +167,23 @@
 	for i, c := range t.list {
 		c.listIndex = i
 	}
-	if len(t.list) < len(t.byKey) {
-		clear(t.byKey)
-		for _, c := range t.list {
-			t.byKey[c.key] = c
+}
+
+// removeKey removes a customer from byKey, but not the same customer under other plans.
+func (t *customerTable) removeKey(c *customer) {
+	first := t.byKey[c.key]
+	if first == c {
+		if c.otherPlan == nil {
+			delete(t.byKey, c.key)
+		} else {
+			t.byKey[c.key] = c.otherPlan
+		}
+		return
+	}
+	for before := first; before != nil; before = before.otherPlan {
+		if before.otherPlan == c {
+			before.otherPlan = c.otherPlan
+			return
 		}
 	}
 }
@@ -194,8 +226,9 @@
 	}
 }
 
-// unlink removes a customer from byHash, and its views from their peers.
+// unlink removes a customer from byKey and byHash, and its views from their peers.
 func (t *customerTable) unlink(c *customer) {
+	t.removeKey(c)
 	t.removeHash(c)
 	for _, view := range c.peerViews {
 		isView := func(other *peerView) bool { return other == view }
@@ -234,11 +267,11 @@
 	return c.inFlight.count > 0 || c.inFlight.mean > 0 || len(c.queued) > 0
 }
 
-// customerOf returns the customer of a request, and adds it if it is not known. A plan that is not in the
-// settings has no quotas.
+// customerOf returns the customer of a request under the plan that it names, and adds it if it is not known.
+// A plan that is not in the settings has no quotas.
 func (g *Gateway) customerOf(r *Request) *customer {
 	key := customerKey(r.Customer)
-	if c := g.customers.byKey[key]; c != nil {
+	if c := g.customers.find(key, r.Plan); c != nil {
 		return c
 	}
 	plan := g.plans[r.Plan]
--- a/policy/events.go
+++ b/policy/events.go
@@ -17,7 +17,7 @@
 type Request struct {
 	ID        RequestID
 	Customer  string        // name of the customer whose quotas apply
-	Plan      string        // Plan.Name; a plan that is not in the settings has no quotas
+	Plan      string        // Plan.Name, under which it counts; one that is not in the settings has no quotas
 	Class     string        // Class.Name; a class that is not in the settings is NonIdempotent
 	Units     float64       // cost, or an estimate of it
 	Remaining time.Duration // time left until the client times out
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -11,6 +11,10 @@
 	// customerIdleTimeout is the minimum time for which the state of a customer without requests is retained.
 	customerIdleTimeout = 10 * time.Minute
 
+	// formerPlanTimeout is the minimum time for which the state of a customer under a plan that it has left
+	// is retained.
+	formerPlanTimeout = 30 * time.Second
+
 	// seedStream is the second half of the random generator's seed.
 	seedStream = 0x9e3779b97f4a7c15
 )
--- a/policy/lease_grant.go
+++ b/policy/lease_grant.go
@@ -23,10 +23,10 @@
 	if !isKnown || m.GatewaySpread == 0 {
 		return
 	}
-	c := g.customers.byKey[m.Customer]
+	plan := g.plans[g.settings.Plans[m.Plan].Name]
+	c := g.customers.find(m.Customer, plan.Name)
 	isNew := c == nil
 	if isNew {
-		plan := g.plans[g.settings.Plans[m.Plan].Name]
 		c = g.addCustomer(m.Customer, plan, int(m.FirstGateway), int(m.GatewaySpread))
 	}
 	// A standby leader that receives no reports from the leader uses the fill that the leader last reported
@@ -97,15 +97,12 @@
 
 // handleLeaseReturn ends a lease, and refunds the units of one that was never used.
 func (g *Gateway) handleLeaseReturn(from int, m leaseReturn) {
-	c := g.customers.byKey[m.Customer]
-	if c == nil {
-		return
-	}
 	key := leaseKey{from, m.Tag}
-	returned, ok := c.leases[key]
-	if !ok {
+	c := g.customers.withLease(m.Customer, key)
+	if c == nil {
 		return
 	}
+	returned := c.leases[key]
 	delete(c.leases, key)
 	c.inFlight.add(g.now, -1)
 	g.refill(c)
@@ -115,6 +112,16 @@
 	g.releaseAfterResult(c)
 }
 
+// withLease returns the customer that holds a lease, under whatever plan, or nil if the lease has ended.
+func (t *customerTable) withLease(customerKey uint64, key leaseKey) *customer {
+	for c := t.byKey[customerKey]; c != nil; c = c.otherPlan {
+		if _, ok := c.leases[key]; ok {
+			return c
+		}
+	}
+	return nil
+}
+
 // expireLeases ends the leases that have expired.
 func (c *customer) expireLeases(now time.Duration) {
 	for key, granted := range c.leases {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -13,8 +13,9 @@
 }
 
 // RestoreSnapshot restores the snapshots that SaveSnapshot returned in an earlier process of this gateway,
-// Age ago. The caller should send it before any request: customers that are already known, or whose plan
-// is not in the settings, are skipped. Without it a quota may be granted a second time after a restart.
+// Age ago. The caller should send it before any request: customers that are already known under the plan,
+// or whose plan is not in the settings, are skipped. Without it a quota may be granted a second time after
+// a restart.
 type RestoreSnapshot struct {
 	Age       time.Duration // below 0 counts as 0
 	Customers []CustomerSnapshot
@@ -60,7 +61,7 @@
 func (g *Gateway) handleRestoreSnapshot(ev RestoreSnapshot) {
 	for _, saved := range ev.Customers {
 		plan := g.plans[saved.Plan]
-		if plan == nil || g.customers.byKey[saved.Key] != nil || saved.FirstGateway < 0 {
+		if plan == nil || g.customers.find(saved.Key, saved.Plan) != nil || saved.FirstGateway < 0 {
 			continue
 		}
 		c := g.addCustomer(saved.Key, plan, saved.FirstGateway, saved.GatewaySpread)
