upstream: a response without a length takes memory as its bytes come

Callers saw: of requests whose servers answered at the same moment without a length or in chunks, all but a few got 502 after they had run, however short the answers.

Cause: such a response reserved room for the longest body, and there is room for four to six.

Evidence: under 64 MB 4 of 16, 4 of 64 and 4 of 128 were served, under 192 MB 6 of 16, the same for 64 bytes and for 64 KiB; each other one was a 502.

Why this works: room is taken as bytes come, beyond the first 64 KiB, which do not count; an announced length still takes all at once. A response without room gives back its own in the same step, so no more fail than have to.

--- a/internal/http1/read.go
+++ b/internal/http1/read.go
@@ -302,27 +302,34 @@
 
 // Body reads the whole body of a message.
 func (r *Reader) Body(f Framing, length int64) ([]byte, error) {
+	return r.BodyWithin(f, length, func(int) error { return nil })
+}
+
+// BodyWithin does what Body does. It calls reserve for the bytes of the body as they come, and ends with its error if
+// it returns one.
+func (r *Reader) BodyWithin(f Framing, length int64, reserve func(bytes int) error) ([]byte, error) {
 	switch f {
 	case Length:
-		return r.readExactly(nil, length)
+		return r.readExactly(nil, length, reserve)
 	case Chunked:
-		return r.readChunked()
+		return r.readChunked(reserve)
 	case UntilClose:
-		b, err := io.ReadAll(io.LimitReader(r.br, r.limits.MaxBodyBytes+1))
-		if err == nil && int64(len(b)) > r.limits.MaxBodyBytes {
-			err = newError(413, "body longer than %d bytes", r.limits.MaxBodyBytes)
-		}
-		return b, err
+		return r.readUntilClose(reserve)
 	}
 	return nil, nil
 }
 
+// maxReadStep is the number of bytes for which memory is allocated at a time.
+const maxReadStep = 64 << 10
+
 // readExactly reads n bytes and appends them to b. It allocates memory as the bytes arrive, not
 // for the announced length.
-func (r *Reader) readExactly(b []byte, n int64) ([]byte, error) {
-	const maxStep = 64 << 10
+func (r *Reader) readExactly(b []byte, n int64, reserve func(bytes int) error) ([]byte, error) {
 	for n > 0 {
-		k := int(min(n, maxStep))
+		k := int(min(n, maxReadStep))
+		if err := reserve(k); err != nil {
+			return b, err
+		}
 		at := len(b)
 		b = append(b, make([]byte, k)...)
 		m, err := io.ReadFull(r.br, b[at:])
@@ -337,7 +344,29 @@
 	return b, nil
 }
 
-func (r *Reader) readChunked() ([]byte, error) {
+// readUntilClose reads a body that ends with the connection.
+func (r *Reader) readUntilClose(reserve func(bytes int) error) ([]byte, error) {
+	var body []byte
+	for {
+		// Peek waits for one byte, and Buffered tells how many came with it.
+		if _, err := r.br.Peek(1); err != nil {
+			if err == io.EOF {
+				err = nil
+			}
+			return body, err
+		}
+		k := r.br.Buffered()
+		if int64(len(body)+k) > r.limits.MaxBodyBytes {
+			return body, newError(413, "body longer than %d bytes", r.limits.MaxBodyBytes)
+		}
+		var err error
+		if body, err = r.readExactly(body, int64(k), reserve); err != nil {
+			return body, err
+		}
+	}
+}
+
+func (r *Reader) readChunked(reserve func(bytes int) error) ([]byte, error) {
 	var body []byte
 	for overhead := 0; ; {
 		b, err := r.readLine(400)
@@ -361,7 +390,7 @@
 			_, err := r.readHeader() // trailers are limited like a header, and ignored
 			return body, err
 		}
-		if body, err = r.readExactly(body, n); err != nil {
+		if body, err = r.readExactly(body, n, reserve); err != nil {
 			return body, err
 		}
 		var end [2]byte
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -133,13 +133,11 @@
 		t.finish(node.Result{Code: code, Detail: detail}, false)
 		return false
 	}
-	reserved := c.pool.bodyBytesToReserve(head)
-	if !c.pool.reserveBodyBytes(reserved) {
+	body, err := c.readBody(head)
+	if errors.Is(err, errBufferFull) {
 		t.finish(resultBufferFull, false)
 		return false
 	}
-	body, err := c.reader.Body(head.Framing, head.Length)
-	c.pool.bufferedBytes.Add(-reserved)
 	if err != nil {
 		code, detail := attemptOutcome(duringResponse, err)
 		t.finish(node.Result{Code: code, Detail: detail}, false)
@@ -149,5 +147,17 @@
 	return head.KeepAlive()
 }
 
+// readBody reads the body of a response, for as long as MaxBufferedBodyBytes leaves room for it.
+func (c *conn) readBody(head *http1.Response) ([]byte, error) {
+	reservation := bodyReservation{pool: c.pool}
+	defer reservation.release()
+	if head.Framing == http1.Length {
+		if err := reservation.announce(head.Length); err != nil {
+			return nil, err
+		}
+	}
+	return c.reader.BodyWithin(head.Framing, head.Length, reservation.add)
+}
+
 // resultBufferFull is the result of an attempt whose response would exceed MaxBufferedBodyBytes.
 var resultBufferFull = node.Result{Code: policy.Reset, Detail: "response too long for what is held already"}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/http1"
@@ -36,7 +35,7 @@
 	mu              sync.Mutex
 	idle            map[string][]*conn // by server, in the order of last use; the most recent is reused first
 	openConnections int                // over HTTP/1.1, including those being dialed
-	bufferedBytes   atomic.Int64       // reserved for response bodies being read
+	bodyBuffer      bodyBuffer         // memory for response bodies being read
 	sweptAt         time.Time          // time of the last check for connections idle too long
 	idleLimit       idleLimitEstimator
 	createdAt       time.Time            // time 0 of idleLimit
@@ -190,27 +189,3 @@
 	p.mu.Unlock()
 	p.readers.Wait()
 }
-
-const minCountedBodyBytes = 64 << 10 // bodies up to this size do not count towards MaxBufferedBodyBytes
-
-// bodyBytesToReserve returns the maximum size of the body of a response, or 0 if it is too small
-// to count.
-func (p *Pool) bodyBytesToReserve(head *http1.Response) int64 {
-	switch {
-	case head.Framing == http1.Length && head.Length <= minCountedBodyBytes || head.Framing == http1.NoBody:
-		return 0
-	case head.Framing == http1.Length:
-		return head.Length
-	}
-	return p.options.Limits.MaxBodyBytes
-}
-
-// reserveBodyBytes reserves memory for a body. It returns false if MaxBufferedBodyBytes would be
-// exceeded.
-func (p *Pool) reserveBodyBytes(size int64) bool {
-	if p.bufferedBytes.Add(size) > p.options.MaxBufferedBodyBytes && p.options.MaxBufferedBodyBytes > 0 && size > 0 {
-		p.bufferedBytes.Add(-size)
-		return false
-	}
-	return true
-}
