edgenode/discovery: an older list brings no draining or removed server back

Cause: a whole list replaced all that was known, whatever its index.

Why this works: ListHistory remembers draining and removed servers with their last start. A list with a lower index does not bring them back; all else in it counts at once. A discovery that began anew counts from 0 and never catches up: after 30 s of older lists they are believed. Within one address, changes with an index below the one asked for make the watch ask for the whole list.

--- a/edgenode/discovery/list.go
+++ b/edgenode/discovery/list.go
@@ -28,14 +28,18 @@
 	Endpoints []Endpoint `json:"endpoints"` // in no particular order
 }
 
-// statusRemoved is the platform's status for an endpoint that has been removed from the list.
-const statusRemoved = "gone"
+// Statuses of the platform.
+const (
+	statusReady    = "ready"
+	statusDraining = "draining"
+	statusRemoved  = "gone" // the endpoint has been removed from the list
+)
 
 // serverStates maps the platform's statuses to states of package policy.
 var serverStates = map[string]policy.ServerState{
-	"ready":       policy.Running,
-	"draining":    policy.Draining,
-	statusRemoved: policy.Removed,
+	statusReady:    policy.Running,
+	statusDraining: policy.Draining,
+	statusRemoved:  policy.Removed,
 }
 
 // ErrIncompleteList is the error of Parse for a list that lacks a required key.
--- a/edgenode/discovery/watch.go
+++ b/edgenode/discovery/watch.go
@@ -143,6 +143,9 @@
 	}
 	if r.call.source == w.source {
 		w.index = r.list.Index
+		if !r.list.Snapshot && r.list.Index < r.call.after {
+			w.index = noIndex // discovery has begun anew: what it had before this index is not known
+		}
 	}
 	w.backoff.reset()
 	w.failing = w.failing && !latest
--- a/edgenode/discovery/watch_test.go
+++ b/edgenode/discovery/watch_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -319,3 +320,35 @@
 		t.Errorf("delivered %+v, want only the snapshot with s-2 ready", got)
 	}
 }
+
+// Guards against a watch that misses servers after discovery began anew: it answers a poll for changes with an index
+// before the one in the poll, and its whole list has to be asked for.
+func TestWholeListIsRequestedIfDiscoveryBeganAnew(t *testing.T) {
+	d := newFakeDiscovery(t)
+	var anew atomic.Bool
+	go d.answerPolls(func(nc *net.TCPConn, after int64) bool {
+		switch {
+		case after < 0 && !anew.Load():
+			send(nc, response(fmt.Sprintf(snapshotWithSecond, 41)))
+		case after < 0:
+			send(nc, response(fmt.Sprintf(snapshotWithoutSecond, 3)))
+		case after > 3:
+			anew.Store(true)
+			send(nc, response(`{"index":3,"snapshot":false,"endpoints":[]}`))
+		default:
+			neverRespond(nc)
+		}
+		return true
+	})
+	got := startWatch(t, network.OS{}, d.listener.Addr().String())
+	for {
+		select {
+		case l := <-got:
+			if l.Snapshot && secondUnavailable(l) {
+				return
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("the whole list was not requested")
+		}
+	}
+}
--- a/edgenode/edge.go
+++ b/edgenode/edge.go
@@ -55,6 +55,7 @@
 
 	endpointsMutex sync.Mutex
 	endpoints      *discovery.EndpointTable // guarded by endpointsMutex
+	listHistory    *discovery.ListHistory   // guarded by endpointsMutex
 
 	watchMutex       sync.Mutex
 	cancelWatch      func()        // cancels the discovery watch and waits until it has ended
@@ -81,6 +82,7 @@
 		open:      openRequests{ids: map[string]bool{}},
 		endpoints: discovery.NewEndpointTable(),
 	}
+	e.listHistory = discovery.NewListHistory()
 	e.closers.Add(clock.Close)
 	options := node.Options{
 		Settings:       cfg.Policy,
--- a/edgenode/endpoints.go
+++ b/edgenode/endpoints.go
@@ -27,6 +27,9 @@
 func (e *Edge) applyEndpoints(l discovery.List, cached bool) {
 	e.endpointsMutex.Lock()
 	defer e.endpointsMutex.Unlock()
+	if !cached {
+		l = e.listHistory.Admit(l, time.Now())
+	}
 	update := e.endpoints.Apply(l, cached)
 	if update.Kind != policy.DeltaUpdate || len(update.Servers) > 0 {
 		e.node.UpdateEndpoints(update.Kind, update.Servers)
--- a/edgenode/endpoints_test.go
+++ b/edgenode/endpoints_test.go
@@ -127,6 +127,35 @@
 	}
 }
 
+// Guards against requests to a server that is known to drain, because a SIGHUP moves the node to a discovery whose list
+// lags; and against a discovery that began anew and is not followed.
+func TestMoveToOlderListBringsNoDrainingServerBack(t *testing.T) {
+	simulate(t, func(s *testbed) {
+		draining := strings.Replace(strings.Replace(twoEndpoints, `"status":"ready"`, `"status":"draining"`, 1), `"index":7`, `"index":8`, 1)
+		s.serveDiscovery("10.0.3.2:80", func(string) string { return draining })
+		s.serveDiscovery("10.0.3.3:80", func(string) string { return twoEndpoints })
+		s.edge.Reload(&Config{Discovery: "10.0.3.2:80"})
+		time.Sleep(time.Second)
+		s.edge.Reload(&Config{Discovery: "10.0.3.3:80"})
+		time.Sleep(time.Second)
+		for range 20 {
+			if status, _, _ := s.exchange(s.requestText("lookup", "")); status != 200 {
+				t.Errorf("status %d", status)
+			}
+		}
+		if n := s.servers[0].requestCount(); n > 0 {
+			t.Errorf("the draining server got %d requests", n)
+		}
+		time.Sleep(time.Minute)
+		for range 20 {
+			s.exchange(s.requestText("lookup", ""))
+		}
+		if s.servers[0].requestCount() == 0 {
+			t.Error("the list of a discovery that began anew was never believed")
+		}
+	})
+}
+
 // If discovery sends invalid responses or none, the node must keep its endpoint list and limit its
 // rate of polls. A new discovery address must be polled at once.
 func TestDiscoveryFailureKeepsEndpointList(t *testing.T) {
