upstream: an attempt ends if its HTTP/2 connection takes no more streams

Callers would see: a request waits for its whole time although nothing was sent for it.

Cause: an attempt is assigned to a connection before it is sent. If the connection stopped taking streams in between, nothing was sent and no result reported, unless somebody had ended the stream.

Evidence: TestAttemptEndsIfItsConnectionTakesNoMoreStreams forces that order with the connection's write lock; before, the attempt had not ended after 2 s.

Why this works: such an attempt ends as one that never ran; if its stream has ended, whoever ended it has reported the result and nothing more happens.

--- a/upstream/http2_send.go
+++ b/upstream/http2_send.go
@@ -38,6 +38,7 @@
 // IDs must increase in the order in which streams are opened.
 func (c *h2Conn) sendRequest(s *h2Stream, call *node.HTTPRequest) error {
 	var notSent *node.Result
+	refused := false
 	err := c.writeBefore(s.attempt.SendBy, func() error {
 		if notSent = s.attempt.reasonNotToSend(); notSent == nil && !s.attempt.startWrite() {
 			notSent = &resultTooLate // the attempt has ended, so that the result is not reported
@@ -47,8 +48,9 @@
 		}
 		c.mu.Lock()
 		if c.noNewStreams || s.ended {
+			refused = true
 			c.mu.Unlock()
-			return nil // the goroutine that ended the stream reports the result
+			return nil
 		}
 		for id, other := range c.streams {
 			if other == s {
@@ -67,6 +69,11 @@
 	if err != nil {
 		return err
 	}
+	if refused {
+		// If the stream has ended, the goroutine that ended it reports the result.
+		c.failStream(s, beforeWrite, errNoNewStreams)
+		return nil
+	}
 	return c.sendBody(s, call.Body)
 }
 
@@ -118,6 +125,9 @@
 	return nil
 }
 
+// errNoNewStreams is the error of a request that was not sent because its connection takes no more streams.
+var errNoNewStreams = errors.New("the connection takes no more requests")
+
 // errSendTimeOver is the error of a request of which only a part was sent by Attempt.SendBy.
 var errSendTimeOver = errors.New("too late to send the rest")
 
--- a/upstream/races_test.go
+++ b/upstream/races_test.go
@@ -261,3 +261,54 @@
 	outgoing.Cancel()
 	p.Close()
 }
+
+// Guards against an attempt that is never sent and never ends, or that closes the connection of others: its
+// connection stops taking streams, with others still in flight, after the attempt was assigned to it.
+func TestAttemptEndsIfItsConnectionTakesNoMoreStreams(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		s := listen(t)
+		p := New(Options{Network: network.OS{}, ConnectTimeout: 10 * time.Second, HTTP2: true, Limits: testLimits})
+		first, _ := start(p, s, "/first", 10*time.Second)
+		nc, _ := s.accept()
+		received := make(chan struct{})
+		go func() {
+			_, _ = io.CopyN(io.Discard, nc, 1)
+			close(received)
+			_, _ = io.Copy(io.Discard, nc)
+		}()
+		<-received
+		var c *h2Conn
+		for c == nil {
+			p.mu.Lock()
+			if list := p.h2Conns[s.l.Addr().String()]; len(list) > 0 {
+				c = list[0]
+			}
+			p.mu.Unlock()
+		}
+		c.writeLock.Lock()
+		request := call("/second")
+		request.HTTP.Body = []byte(body)
+		ended := make(chan node.Result, 1)
+		p.Start(node.Attempt{Address: s.l.Addr().String(), Timeout: 10 * time.Second, Request: request}, func(r node.Result) { ended <- r })
+		for reserved := 0; reserved < 2; {
+			c.mu.Lock()
+			if reserved = len(c.streams); reserved == 2 {
+				c.noNewStreams = true
+			}
+			c.mu.Unlock()
+		}
+		c.writeLock.Unlock()
+		select {
+		case r := <-ended:
+			if !r.Code.NeverRan() {
+				t.Errorf("body %q: ended with %v: %s", body, r.Code, r.Detail)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("body %q: the attempt has not ended", body)
+		}
+		if !first.Withdraw() {
+			first.Cancel()
+		}
+		p.Close()
+	}
+}
