edgenode/discovery: a poll of the last address is no poll of the new one

Callers would see: a node that SIGHUP moves while the new discovery does not accept connections yet stays with the last one for as long as that answers.

Cause: when the call to the new address had failed, the answered one to the last address was the latest in flight, and its connection was used for the next call, and its index for the new source.

Evidence: TestWatchLeavesLastAddressThoughItAnswers, before: a connection to the last address open 3 s after the move, 11 lists from there, the new address's list never known.

Why this works: an answer of the last address is delivered, its connection is closed, and the next call, which is due by the backoff, goes to the new address. Now the test passes.

--- a/edgenode/discovery/slow_test.go
+++ b/edgenode/discovery/slow_test.go
@@ -333,3 +333,22 @@
 		}
 	}
 }
+
+// Guards against a watch that stays at the address from which discovery has moved: the new address refuses connections
+// at first, and a call to the last one is answered meanwhile. Its connection must not be used for the new address.
+func TestWatchLeavesLastAddressThoughItAnswers(t *testing.T) {
+	watchSlowly(t, lateness{}, func(b *slowBed, last *slowDiscovery) {
+		time.Sleep(1500 * time.Millisecond) // a call for changes is in flight
+		b.moves <- "10.0.3.2:80"
+		time.Sleep(3 * time.Second)
+		if open, _ := last.connectionCounts(); open > 0 {
+			b.t.Errorf("%d connections to the last address are open 3 s after the move", open)
+		}
+		next := newSlowDiscovery(lateness{})
+		next.drainSecond()
+		b.listen("10.0.3.2:80", next)
+		reachable := time.Now()
+		time.Sleep(5 * time.Second)
+		b.checkDrainKnown(reachable, toldAfterReload)
+	})
+}
--- a/edgenode/discovery/watch.go
+++ b/edgenode/discovery/watch.go
@@ -141,15 +141,17 @@
 	for _, older := range w.inFlight.removeAnswered(r.call) {
 		older.abandon()
 	}
-	if r.call.source == w.source {
-		w.index = r.list.Index
-		if !r.list.Snapshot && r.list.Index < r.call.after {
-			w.index = noIndex // discovery has begun anew: what it had before this index is not known
-		}
+	w.Deliver(r.list)
+	if r.call.source != w.source {
+		r.closeConnection() // the next call goes to the address to which discovery has moved
+		return
+	}
+	w.index = r.list.Index
+	if !r.list.Snapshot && r.list.Index < r.call.after {
+		w.index = noIndex // discovery has begun anew: what it had before this index is not known
 	}
 	w.backoff.reset()
 	w.failing = w.failing && !latest
-	w.Deliver(r.list)
 	switch {
 	case !latest: // the calls made after it are in flight
 		r.closeConnection()
