upstream: failed connects in one function, write deadline before the assignment

The deadline of a write is set before the connection is assigned, so that it cannot replace the one that an early response sets. No other change; tests of upstream pass, also under the race detector, and those of edgenode.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -122,10 +122,6 @@
 	var buf []byte
 	for {
 		c, fresh, err := t.connect(ctx)
-		if err == errNoConnection {
-			t.finish(resultNoConnection, false)
-			return
-		}
 		if err != nil {
 			t.finish(t.connectFailure(err), false)
 			return
@@ -147,12 +143,12 @@
 			t.markRequestSent()
 			return
 		}
+		c.netConn.SetWriteDeadline(t.SendBy)
 		n, assigned := 0, c.assign(t)
 		if err = net.ErrClosed; assigned && c.startWrite() {
 			if !t.startWrite() {
 				return // canceled, which has closed the connection
 			}
-			c.netConn.SetWriteDeadline(t.SendBy)
 			n, err = c.netConn.Write(buf)
 		}
 		switch {
@@ -218,7 +214,10 @@
 // connectFailure returns the result of an attempt that got no connection. That the time to send it was over says
 // nothing about the server.
 func (t *attempt) connectFailure(err error) node.Result {
-	if t.sendTimeOver() {
+	switch {
+	case errors.Is(err, errNoConnection):
+		return resultNoConnection
+	case t.sendTimeOver():
 		return resultSentTooLate
 	}
 	code, detail := attemptOutcome(beforeConnect, err)
