--- a/review/edgekit/load.go
+++ b/review/edgekit/load.go
@@ -11,6 +11,7 @@
 type Load struct {
 	Node     *Node
 	PerS     int                        // requests a second
+	Interval time.Duration              // between two requests, if PerS is 0
 	Duration time.Duration              // how long requests are sent
 	Workers  int                        // connections
 	Request  func(number int64) Request // the requests, from number 1
@@ -45,9 +46,13 @@
 			}
 		})
 	}
+	interval := l.Interval
+	if l.PerS > 0 {
+		interval = time.Second / time.Duration(l.PerS)
+	}
 	begun := time.Now()
 	for number := int64(1); !l.Node.Ended(); number++ {
-		due := begun.Add(time.Duration(number) * time.Second / time.Duration(l.PerS))
+		due := begun.Add(time.Duration(number) * interval)
 		if due.Sub(begun) > l.Duration {
 			break
 		}
