--- a/review/edgekit/load.go
+++ b/review/edgekit/load.go
@@ -1,7 +1,9 @@
 package edgekit
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,14 +77,24 @@
 // answerSlack is how long after its time a request may still get its answer.
 const answerSlack = 500 * time.Millisecond
 
+// send sends a request. Where the node ends a resting connection, the request is sent once more on a new one.
 func (w *loadWorker) send(number int64) {
 	atomic.AddInt64(&w.outcome.Sent, 1)
 	r := w.load.Request(number)
+	rested := w.client != nil
+	reply := w.exchange(r)
+	if rested && errors.Is(reply.Err, io.ErrUnexpectedEOF) {
+		reply = w.exchange(r)
+	}
+	w.count(r, reply)
+}
+
+// exchange sends a request on the connection that is kept, or on a new one.
+func (w *loadWorker) exchange(r Request) Reply {
 	if w.client == nil {
 		var err error
 		if w.client, err = Dial(w.load.Node.Address); err != nil {
-			w.count(r, Reply{Err: err})
-			return
+			return Reply{Err: err}
 		}
 	}
 	method := "GET"
@@ -90,11 +102,11 @@
 		method = "POST"
 	}
 	reply := w.client.Exchange(r.Text(), method, time.Duration(r.TimeLeft)*time.Millisecond+answerSlack)
-	w.count(r, reply)
 	if reply.Err != nil || reply.Header.Get("Connection") == "close" {
 		w.client.Close()
 		w.client = nil
 	}
+	return reply
 }
 
 func (w *loadWorker) count(r Request, reply Reply) {
