--- a/review/edgekit/discovery.go
+++ b/review/edgekit/discovery.go
@@ -42,6 +42,8 @@
 	indent  string
 	sent    func(List, int) // called with each list that was written, and its size; may be nil
 	server  *http.Server
+
+	listener net.Listener
 }
 
 // SetIndent makes discovery indent its lists.
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{Address: l.Addr().String(), index: 40, entries: map[string]Endpoint{}, changed: map[string]int{}, news: make(chan struct{})}
+	d := &Discovery{Address: l.Addr().String(), index: 40, entries: map[string]Endpoint{}, changed: map[string]int{}, news: make(chan struct{}), listener: l}
 	for _, e := range list {
 		d.Set(e)
 	}
@@ -73,10 +75,23 @@
 	return d, nil
 }
 
-// Set adds or changes an entry.
+// Set adds or changes an entry, in the next version of the list.
 func (d *Discovery) Set(e Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.set(e)
+}
+
+// SetAt does what Set does, in a given version of the list.
+func (d *Discovery) SetAt(e Endpoint, index int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index = index - 1
+	d.set(e)
+}
+
+// set adds or changes an entry. d.mu must be held.
+func (d *Discovery) set(e Endpoint) {
 	if _, known := d.entries[e.Name]; !known {
 		d.order = append(d.order, e.Name)
 	}
@@ -169,5 +184,12 @@
 	}
 }
 
+// Retire ends discovery as the pages say of an address that a new configuration has replaced: it accepts no new
+// connection at once, and closes the open ones after 1.5 s.
+func (d *Discovery) Retire() {
+	_ = d.listener.Close()
+	time.AfterFunc(1500*time.Millisecond, d.Close)
+}
+
 // Close ends discovery.
 func (d *Discovery) Close() { _ = d.server.Close() }
--- a/review/edgekit/edgekit.go
+++ b/review/edgekit/edgekit.go
@@ -94,10 +94,11 @@
 
 // Node is a running edge node.
 type Node struct {
-	Address string
-	cmd     *exec.Cmd
-	done    chan struct{}
-	err     error
+	Address    string
+	ConfigPath string
+	cmd        *exec.Cmd
+	done       chan struct{}
+	err        error
 }
 
 // RunCommand returns the command run of the deploy file in the root of the repository.
@@ -137,7 +138,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	n := &Node{Address: config.Listen, cmd: cmd, done: make(chan struct{})}
+	n := &Node{Address: config.Listen, ConfigPath: path, cmd: cmd, done: make(chan struct{})}
 	go func() {
 		n.err = cmd.Wait()
 		close(n.done)
