--- a/review/9/play/main.go
+++ b/review/9/play/main.go
@@ -1,132 +1,121 @@
-// Command play plays case 9: after a new configuration, a restarted node believes an older list and sends to an app
-// server that is gone.
+// Command play plays case 9: clients stop in the middle of a request and stay, and the node holds what they sent.
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"syscall"
+	"io"
+	"strings"
+	"sync"
 	"time"
 
 	"yardcleat.example/yardcleat/review/edgekit"
 )
 
 const (
-	newestIndex = 100
-	firstIndex  = 90
-	olderIndex  = 96 // of the list at the new address, until it has caught up
-	grace       = 300 * time.Millisecond
-	moveAfter   = 4 * time.Second // from the node's start to the new configuration; the pages: not within the first second
-	lag         = 3 * time.Second // from the new configuration until the new address has caught up; the pages: 4 s
-	playTime    = 10 * time.Second
-	rate        = 40
+	memoryMB    = 48   // the pages: 32 to 192 MB
+	descriptors = 1024 // the pages: 256 to 1,024 descriptors
+	badClients  = 700  // the pages: by the hundreds
+	bodyBytes   = 64 << 10
+	unsentBytes = 1 << 10 // the rest of the body, which never comes
+
+	usualRate = 50
+	playTime  = 12 * time.Second
+	quietTime = 3 * time.Second // before the bad clients come
+	stayTime  = 5 * time.Second // how long they stay; they are owed an error or a close within 3 s
 )
 
 func main() { edgekit.Play(play) }
 
 func play(c *edgekit.Case) error {
-	answer := func(a edgekit.Arrival) edgekit.Answer { return edgekit.OK("for "+a.ID, 20*time.Millisecond) }
-	_, list, err := c.StartServers("s-", 4, answer)
-	if err != nil {
-		return err
-	}
-	gone, goneEntry, err := c.StartServers("gone-", 1, answer) // it was removed a minute ago, and still answers
+	_, list, err := c.StartServers("s-", 4, func(a edgekit.Arrival) edgekit.Answer {
+		return edgekit.OK("for "+a.ID, 20*time.Millisecond)
+	})
 	if err != nil {
 		return err
 	}
-	first, second, err := agents(c, list, goneEntry[0])
+	d, err := c.StartDiscovery(list)
 	if err != nil {
 		return err
 	}
-	config, err := configuration(first.Address, append(list, goneEntry...))
+	node, err := start(c, d.Address)
 	if err != nil {
 		return err
 	}
-	node, err := c.StartNode(config)
-	if err != nil {
-		return err
+	memory := c.WatchMemory(node, memoryMB)
+	var bad sync.WaitGroup
+	if c.Trouble {
+		bad.Go(func() { stopInTheMiddle(c, node) })
 	}
-	ready := time.Now()
-	time.AfterFunc(moveAfter, func() { move(c, node, config, first, second, goneEntry[0]) })
-	usual := edgekit.Load{Node: node, PerS: rate, Duration: playTime, Workers: 20, Request: func(n int64) edgekit.Request {
+	usual := edgekit.Load{Node: node, PerS: usualRate, Duration: playTime, Workers: 20, Request: func(n int64) edgekit.Request {
 		return edgekit.Request{ID: fmt.Sprintf("%016x", n), Class: "lookup", Plan: "basic", Customer: uint64(n%10 + 1), TimeLeft: 2900}
 	}}.Play(c)
-	c.Record.Say("clients: %v", usual)
-	for _, a := range gone[0].Arrivals() {
-		if late := a.At.Sub(ready); late > grace {
-			c.Broken("request %s went to an app server that is gone, %v after the node was told", a.ID, late)
-		}
+	bad.Wait()
+	peakKB, killed := memory.Stop()
+	c.Record.Say("usual clients: %v", usual)
+	c.Record.Say("most memory without files: %d KiB of %d; killed: %v", peakKB, memoryMB<<10, killed)
+	if usual.NoAnswer > 0 || usual.Foreign > 0 {
+		c.Broken("usual clients: %d requests without an answer, %d with a foreign body", usual.NoAnswer, usual.Foreign)
 	}
 	return nil
 }
 
-// agents starts the discovery of the first address, which has the newest list, and that of the second, which lags.
-// Without the disruption it does not.
-func agents(c *edgekit.Case, list []edgekit.Endpoint, gone edgekit.Endpoint) (first, second *edgekit.Discovery, err error) {
-	if first, err = c.StartDiscovery(nil); err != nil {
-		return nil, nil, err
-	}
-	if second, err = c.StartDiscovery(nil); err != nil {
-		return nil, nil, err
-	}
-	removed := gone
-	removed.Status = "gone"
-	for _, e := range list {
-		first.SetAt(e, firstIndex)
-		second.SetAt(e, firstIndex)
-	}
-	first.SetAt(removed, newestIndex)
-	if c.Trouble {
-		second.SetAt(gone, olderIndex)
-	} else {
-		second.SetAt(removed, newestIndex)
-	}
-	for name, d := range map[string]*edgekit.Discovery{"first": first, "second": second} {
-		d.OnSent(func(l edgekit.List, _ int) {
-			if l.Snapshot || len(l.Endpoints) > 0 {
-				c.Record.Line("the %s address of discovery wrote index %d, whole %v: %+v", name, l.Index, l.Snapshot, l.Endpoints)
-			}
-		})
+func start(c *edgekit.Case, discovery string) (*edgekit.Node, error) {
+	listen, err := edgekit.FreeAddress()
+	if err != nil {
+		return nil, err
 	}
-	return first, second, nil
+	return c.StartNode(&edgekit.Config{
+		Name: "n0", Listen: listen, Discovery: discovery, Seed: "8c1f30d27a5be964",
+		Limits: edgekit.Limits{Cores: 1, MemoryMB: memoryMB, Sockets: descriptors},
+		Settings: edgekit.Settings{
+			Nodes: 1, Cancel: true,
+			Classes: []edgekit.Class{
+				{Name: "lookup", Semantics: "repeatable", Group: "all", AimMS: 800, LimitMS: 3000},
+				{Name: "loan-change", Semantics: "by_key", Group: "all", AimMS: 600, LimitMS: 2000, WindowMS: 2000},
+			},
+			Plans: []edgekit.Plan{{Name: "basic", Rate: 100, StoreSize: 400}},
+		}.JSON(),
+	})
 }
 
-// move replaces the configuration. The new address catches up later.
-func move(c *edgekit.Case, node *edgekit.Node, config *edgekit.Config, first, second *edgekit.Discovery, gone edgekit.Endpoint) {
-	moved := *config
-	moved.Discovery = second.Address
-	if err := moved.Write(node.ConfigPath); err != nil {
-		c.Record.Say("no new configuration: %v", err)
-		return
-	}
-	node.Signal(syscall.SIGHUP)
-	first.Retire()
-	c.Record.Say("SIGHUP; discovery has a new address, with index %d of %d", second.Snapshot().Index, newestIndex)
-	if c.Trouble {
-		time.AfterFunc(lag, func() {
-			gone.Status = "gone"
-			second.SetAt(gone, newestIndex)
-			c.Record.Say("the new address has caught up")
+// stopInTheMiddle connects the bad clients. Each sends a request but for the end of its body, stops, and stays.
+func stopInTheMiddle(c *edgekit.Case, node *edgekit.Node) {
+	time.Sleep(quietTime)
+	c.Record.Say("%d clients send all but %d bytes of a request with a body of %d, and stay", badClients, unsentBytes, bodyBytes)
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	ends := map[string]int{}
+	for i := range badClients {
+		clients.Go(func() {
+			end := badClient(node, i)
+			mu.Lock()
+			ends[end]++
+			mu.Unlock()
 		})
+		time.Sleep(time.Millisecond)
 	}
+	clients.Wait()
+	c.Record.Say("bad clients got: %v", ends)
 }
 
-func configuration(discovery string, known []edgekit.Endpoint) (*edgekit.Config, error) {
-	listen, err := edgekit.FreeAddress()
+// badClient returns what the client got.
+func badClient(node *edgekit.Node, number int) string {
+	client, err := edgekit.Dial(node.Address)
 	if err != nil {
-		return nil, err
+		return "no connection"
 	}
-	last, err := json.Marshal(edgekit.List{Index: olderIndex, Snapshot: true, Endpoints: known})
-	if err != nil {
-		return nil, err
+	defer client.Close()
+	r := edgekit.Request{ID: fmt.Sprintf("bad-%d", number), Class: "loan-change", Plan: "basic", Customer: uint64(number + 100), TimeLeft: 1900,
+		Key: fmt.Sprintf("key-%d", number), Body: strings.Repeat("x", bodyBytes)}
+	text := r.Text()
+	begun := time.Now()
+	_ = client.SetDeadline(begun.Add(stayTime))
+	if _, err := io.WriteString(client.Conn, text[:len(text)-unsentBytes]); err != nil {
+		return "a reset while it sent"
 	}
-	return &edgekit.Config{
-		Name: "n0", Listen: listen, Discovery: discovery, Seed: "8c1f30d27a5be964", Known: last,
-		Limits: edgekit.Limits{Cores: 1, MemoryMB: 64, Sockets: 512},
-		Settings: edgekit.Settings{
-			Nodes: 1, Cancel: true,
-			Classes: []edgekit.Class{{Name: "lookup", Semantics: "repeatable", Group: "all", AimMS: 800, LimitMS: 3000}},
-			Plans:   []edgekit.Plan{{Name: "basic", Rate: 100, StoreSize: 400}},
-		}.JSON(),
-	}, nil
+	reply := client.Read("POST", begun)
+	if reply.Status == 0 {
+		return "an end without an answer"
+	}
+	return fmt.Sprintf("status %d", reply.Status)
 }
