--- a/review/edgekit/case.go
+++ b/review/edgekit/case.go
@@ -4,7 +4,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -60,9 +62,13 @@
 func (c *Case) outcome(play func(*Case) error) int {
 	ended := make(chan error, 1)
 	go func() { ended <- play(c) }()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	var err error
 	select {
 	case err = <-ended:
+	case s := <-interrupted:
+		err = fmt.Errorf("signal: %v", s)
 	case <-time.After(MaxTime):
 		err = fmt.Errorf("the case takes longer than %v", MaxTime)
 	}
