--- a/review/9/play/main.go
+++ b/review/9/play/main.go
@@ -88,6 +88,7 @@
 	for i := range badClients {
 		clients.Go(func() {
 			end := badClient(node, i)
+			c.Record.Line("bad client %d got %s", i, end)
 			mu.Lock()
 			ends[end]++
 			mu.Unlock()
--- a/review/edgekit/case.go
+++ b/review/edgekit/case.go
@@ -135,7 +135,10 @@
 	var servers []*AppServer
 	var list []Endpoint
 	for i := range count {
-		s, err := StartAppServer(fmt.Sprintf("%s%d", prefix, i), handle)
+		s, err := StartAppServer(fmt.Sprintf("%s%d", prefix, i), func(a Arrival) Answer {
+			c.Record.Line("%s got %s", a.Server, a.ID)
+			return handle(a)
+		})
 		if err != nil {
 			return nil, nil, err
 		}
@@ -146,6 +149,15 @@
 	return servers, list, nil
 }
 
+// RecordLists records the lists that a discovery writes, but for empty answers to watches.
+func (c *Case) RecordLists(name string, d *Discovery) {
+	d.OnSent(func(l List, _ int) {
+		if l.Snapshot || len(l.Endpoints) > 0 {
+			c.Record.Line("the %s address of discovery wrote index %d, whole %v: %+v", name, l.Index, l.Snapshot, l.Endpoints)
+		}
+	})
+}
+
 // StartDiscovery starts a discovery, and ends it when the case ends.
 func (c *Case) StartDiscovery(list []Endpoint) (*Discovery, error) {
 	d, err := StartDiscovery(list)
--- a/review/edgekit/load.go
+++ b/review/edgekit/load.go
@@ -122,7 +122,7 @@
 	case reply.Status == 429 || reply.Status == 503:
 		figure = &w.outcome.Refused
 	}
-	if reply.Status != 0 && reply.Status != 200 {
+	if reply.Status != 0 {
 		w.record.Line("request %s: %d after %v: %.60q", r.ID, reply.Status, reply.Took, reply.Body)
 	}
 	atomic.AddInt64(figure, 1)
