cmd/yardcleat: failing test of requests on new connections beside bad clients

The test starts an edge node as a process of its own, with clients that come again on a new connection as soon as the last one ended, and counts usual requests, each at once on a new connection, that get no answer.

--- /dev/null
+++ b/cmd/yardcleat/connection_places_test.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var placesTime = flag.Duration("places-time", 3*time.Second, "how long bad clients and usual ones use a node in each case")
+
+// placesSlots is the number of nodes that run at a time.
+const placesSlots = 2
+
+const (
+	freshInterval = 10 * time.Millisecond   // between two requests on new connections
+	freshTimeout  = 1900 * time.Millisecond // how long their clients wait
+)
+
+// badGroup is clients that send the same, read what they are sent, and come again on a new connection as soon as the
+// last one has ended.
+type badGroup struct {
+	clients int
+	text    func(number int) string
+}
+
+// placesCase is a node with its bad clients.
+type placesCase struct {
+	name      string
+	sockets   int
+	bad       []badGroup
+	stopEvery time.Duration // the process is stopped for stopFor as often; 0: never
+	stopFor   time.Duration
+}
+
+func unsoundRequest(n int) string {
+	return badRequest(classNonIdempotent, n, "Content-Length: -1\r\n", "")
+}
+
+func halfHeader(n int) string {
+	text := badRequest(classIdempotent, n, "", "")
+	return text[:len(text)/2]
+}
+
+func halfBody(n int) string {
+	return badRequest(classNonIdempotent, n, contentLength(1000), strings.Repeat("x", 500))
+}
+
+func manyFields(int) string { return "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 4000) + "\r\n" }
+
+func nothing(int) string { return "" }
+
+// manyRequests returns 300 short requests that are sent at once.
+func manyRequests(n int) string {
+	const requests = 300
+	var b strings.Builder
+	for i := range requests {
+		b.WriteString(badRequest(classIdempotent, n*requests+i, "", ""))
+	}
+	return b.String()
+}
+
+var placesCases = []placesCase{
+	{name: "unsound requests", sockets: 256, bad: []badGroup{{100, unsoundRequest}}},
+	{name: "unsound requests and half headers", sockets: 256, bad: []badGroup{{60, unsoundRequest}, {60, halfHeader}}},
+	{name: "many requests at once", sockets: 256, bad: []badGroup{{100, manyRequests}}},
+	{name: "silent clients", sockets: 256, bad: []badGroup{{300, nothing}}},
+	{name: "half headers", sockets: 256, bad: []badGroup{{300, halfHeader}}},
+	{name: "half bodies", sockets: 1024, bad: []badGroup{{600, halfBody}}},
+	{name: "headers of thousands of fields", sockets: 1024, bad: []badGroup{{300, manyFields}}},
+	{name: "unsound requests, process stopped", sockets: 256, bad: []badGroup{{60, unsoundRequest}, {100, halfBody}},
+		stopEvery: 400 * time.Millisecond, stopFor: 150 * time.Millisecond},
+}
+
+// Guards against requests on new connections that get no answer because bad clients use up the places for connections.
+func TestRequestsAreAnsweredWhenConnectionsRunOut(t *testing.T) {
+	slots := make(chan struct{}, placesSlots)
+	for _, c := range placesCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			c.run(t)
+		})
+	}
+}
+
+func (c placesCase) run(t *testing.T) {
+	servers := newServerGroup(t, serverCount)
+	for _, server := range servers.servers {
+		server.latency = 20 * time.Millisecond
+	}
+	node := startEdgeNode(t, resources{memoryMB: 48, sockets: c.sockets}, servers, serveHTTP(t, servers))
+	peaks := make(chan peakUse, 1)
+	stop := make(chan struct{})
+	go func() { peaks <- watchUse(node, stop) }()
+	until := time.Now().Add(*placesTime)
+	var bad sync.WaitGroup
+	number := 0
+	for _, group := range c.bad {
+		for range group.clients {
+			number++
+			bad.Go(func() { playReturningClient(node, group.text(number), until) })
+		}
+	}
+	bad.Go(func() { c.stopProcess(node, until) })
+	results := playFreshClients(node, until)
+	bad.Wait()
+	close(stop)
+	c.check(t, node, <-peaks, results)
+}
+
+// stopProcess stops the node's process again and again until a time.
+func (c placesCase) stopProcess(node *nodeProcess, until time.Time) {
+	for c.stopEvery > 0 && time.Now().Before(until) {
+		time.Sleep(c.stopEvery - c.stopFor)
+		node.signal(syscall.SIGSTOP)
+		time.Sleep(c.stopFor)
+		node.signal(syscall.SIGCONT)
+	}
+}
+
+// playReturningClient plays one bad client until a time.
+func playReturningClient(node *nodeProcess, text string, until time.Time) {
+	for time.Now().Before(until) {
+		conn, err := net.DialTimeout("tcp", node.address, time.Until(until))
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		_ = conn.SetDeadline(until)
+		_, _ = io.WriteString(conn, text) // the node may reject it before it has read all
+		_, _ = io.Copy(io.Discard, conn)  // until the node ends the connection
+		_ = conn.Close()
+	}
+}
+
+// freshResult is the outcome of a request on a new connection.
+type freshResult struct {
+	id     string
+	sentAt time.Duration // since the first request
+	took   time.Duration // until the response or the end of the connection
+	status int           // 0: there was no response
+	err    error
+}
+
+// playFreshClients sends requests at an even rate until a time, each at once on a new connection, and returns what
+// their clients got.
+func playFreshClients(node *nodeProcess, until time.Time) []freshResult {
+	var mu sync.Mutex
+	var results []freshResult
+	var clients sync.WaitGroup
+	begun := time.Now()
+	ticker := time.NewTicker(freshInterval)
+	defer ticker.Stop()
+	for number := uint64(readinessNumber + 1); time.Now().Before(until); number++ {
+		<-ticker.C
+		clients.Go(func() {
+			result := sendFresh(node, node.requestID(number), begun)
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, result)
+		})
+	}
+	clients.Wait()
+	return results
+}
+
+// sendFresh sends a request on a new connection and returns its outcome.
+func sendFresh(node *nodeProcess, id string, begun time.Time) freshResult {
+	result := freshResult{id: id, sentAt: time.Since(begun)}
+	conn, err := net.DialTimeout("tcp", node.address, freshTimeout)
+	if err != nil {
+		result.err = err
+		return result
+	}
+	defer func() { _ = conn.Close() }()
+	sent := time.Now()
+	result.sentAt = sent.Sub(begun)
+	_, _ = io.WriteString(conn, requestText(true, classIdempotent, id, freshTimeout)) // the node may reject it unread
+	response, err := newClientConn(conn).read(sent.Add(freshTimeout + responseSlack))
+	result.took, result.status, result.err = time.Since(sent), response.status, err
+	return result
+}
+
+// check checks that each usual request got an answer and that the node kept its limits.
+func (c placesCase) check(t *testing.T, node *nodeProcess, peak peakUse, results []freshResult) {
+	counts := map[int]int{}
+	var lost []string
+	slowest := time.Duration(0)
+	for _, r := range results {
+		counts[r.status]++
+		slowest = max(slowest, r.took)
+		if !slices.Contains([]int{http.StatusOK, http.StatusTooManyRequests, http.StatusServiceUnavailable}, r.status) || r.err != nil {
+			lost = append(lost, fmt.Sprintf("%s, sent %v: status %d after %v, %v", r.id, r.sentAt.Round(time.Millisecond), r.status, r.took.Round(time.Millisecond), r.err))
+		}
+	}
+	t.Logf("%d requests, by status: %v, slowest %v; peak %d KiB, %d descriptors of %d", len(results), counts, slowest.Round(time.Millisecond), peak.memoryKB, peak.descriptors, c.sockets)
+	if len(lost) > 0 {
+		t.Errorf("%d of %d requests got no answer:\n%s", len(lost), len(results), strings.Join(lost[:min(len(lost), 5)], "\n"))
+		t.Logf("log of the node:\n%s", node.log)
+	}
+	if counts[http.StatusOK] == 0 {
+		t.Error("no request was served")
+	}
+	if peak.memoryKB == 0 || peak.memoryKB > 48<<10 || peak.descriptors > c.sockets {
+		t.Errorf("peak %+v, limits %d KiB and %d descriptors", peak, 48<<10, c.sockets)
+	}
+	if node.hasExited() {
+		t.Errorf("the node exited: %v: %s", node.err, node.log)
+	}
+}
