policy/connections, front: requests that were taken are answered when connections run out

Cause: a connection over the limit was accepted and closed unread, though its request lay in the socket; one that was chosen for eviction between the read of its request and the record that a request has begun was closed with that request; the first request of a connection that crossed its eviction, the end of its time or the end of the shutdown found the sending side closed; connections that were closing kept places from new ones. Five files decided a part of this under two locks. HTTP/2 closed what came over the limit at once, and TLS handshakes had no limit.

Change: policy/connections has the states of a connection and decides alone which one makes room, and how it ends; it has no I/O. front/connlimit carries that out for HTTP/1.1, HTTP/2 and TLS under one lock, logs which connection was ended and why, and counts it. Whoever has brought no request yet or is in the middle of one is rejected with a response before the close; a whole request that crosses that is served; closing connections are cut first if there is no descriptor left; requests in flight leave a 32nd of the places free, and those beyond get 503, so that a place always gets free. What waits for room is held unread, by the kernel but for one.

TestWhatEndsAConnectionByState has every state against every event, TestTableKeepsItsLimits draws orders. With the check for an ended connection put back behind the read, TestRequestReadBeforeItsConnectionIsEndedIsAnswered fails; without the rejection TestFirstRequestThatCrossesTheEndIsRejected fails.

Tests changed: TestEviction and TestMaxIdle moved to policy/connections with the same steps, TestBoundedAcceptLoopWaitsForOpenConnections to front/connlimit as TestServeWaitsForOpenConnections, TestEvictionBeforeReadTimeoutIsSet is TestEndBeforeReadTimeoutIsSet. TestSilentConnectionsDoNotBlockClients asked that a silent connection gets no byte; that was wrong, since its first request may cross the close and is owed a response. It now gets exactly one whole rejection that closes the connection, 408 or 503, and no more. Requests that are partly read at the end of a shutdown get 503 in place of 408: they never ran.

--- a/edgenode/drain.go
+++ b/edgenode/drain.go
@@ -27,7 +27,8 @@
 	e.draining.Store(true)
 	e.front.StartDraining()
 	waitUntil(ctx, begun.Add(plan.stopAccepting))
-	e.closeListener()
+	e.logCloseError(e.front.StopServing(e.listener))
+	e.serving.Wait()
 	e.front.StopAccepting()
 
 	finalResponses := time.AfterFunc(time.Until(begun.Add(plan.finalResponses)), e.sendFinalResponses)
@@ -63,12 +64,20 @@
 	e.closers.Close()
 }
 
-// closeListener closes the listener, if it is open.
+// closeListener closes the listener at once, if it is open.
 func (e *Edge) closeListener() {
 	if e.listener == nil {
 		return
 	}
-	if err := e.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+	e.logCloseError(e.listener.Close())
+	if e.front != nil {
+		e.logCloseError(e.front.StopServing(e.listener))
+	}
+}
+
+// logCloseError logs an error of closing the listener, unless it was closed before.
+func (e *Edge) logCloseError(err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
 		e.logger.Warn("closing a listener failed", "error", err)
 	}
 }
--- a/edgenode/edge.go
+++ b/edgenode/edge.go
@@ -11,6 +11,7 @@
 
 	"yardcleat.example/yardcleat/edgenode/discovery"
 	"yardcleat.example/yardcleat/edgenode/protocol"
+	"yardcleat.example/yardcleat/front/connlimit"
 	fronthttp "yardcleat.example/yardcleat/front/http1"
 	"yardcleat.example/yardcleat/internal/background"
 	"yardcleat.example/yardcleat/internal/memory"
@@ -110,7 +111,7 @@
 	e.startPool(cfg, limits, paused)
 	options.Upstream = e.pool
 	options.Settings.MaxCustomerBytes = limits.customerMemory
-	options.MaxUnanswered = limits.maxClientConnections
+	options.MaxUnanswered = limits.connections.MaxActive
 	if err := e.startNode(ctx, cfg, options); err != nil {
 		return err
 	}
@@ -187,22 +188,18 @@
 		return err
 	}
 	e.front = fronthttp.New(fronthttp.Options{
-		Node:                    e,
-		Mapper:                  protocol.New(cfg.Policy, e.ready),
-		Log:                     e.logger,
-		Limits:                  messageLimits(maxRequestBody),
-		FirstRequestTimeout:     firstRequestTimeout,
-		HeaderTimeout:           requestTimeout,
-		BodyTimeout:             requestTimeout,
-		IdleTimeout:             idleTimeout,
-		WriteTimeout:            writeTimeout,
-		MaxConnections:          limits.maxClientConnections,
-		MaxIdleConnections:      limits.maxIdleClientConnections,
-		MaxOpenConnections:      limits.maxOpenConnections,
-		MaxLingeringConnections: limits.maxLingeringConnections,
-		MinIdleBeforeEviction:   minIdleBeforeEviction,
-		Memory:                  e.memory,
-		FreeBytesOfRequest:      limits.freeBytesOfRequest,
+		Node:                e,
+		Mapper:              protocol.New(cfg.Policy, e.ready),
+		Log:                 e.logger,
+		Limits:              messageLimits(maxRequestBody),
+		FirstRequestTimeout: firstRequestTimeout,
+		HeaderTimeout:       requestTimeout,
+		BodyTimeout:         requestTimeout,
+		IdleTimeout:         idleTimeout,
+		WriteTimeout:        writeTimeout,
+		Connections:         connlimit.New(limits.connections, e.logger),
+		Memory:              e.memory,
+		FreeBytesOfRequest:  limits.freeBytesOfRequest,
 	})
 	e.serving.Go(func() {
 		if err := e.front.Serve(e.listener); err != nil {
--- a/edgenode/resource_limits.go
+++ b/edgenode/resource_limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 // Maximum sizes of one message.
@@ -37,11 +38,8 @@
 
 // resourceLimits is the division of the resources that the process may use.
 type resourceLimits struct {
-	maxClientConnections     int
-	maxIdleClientConnections int
-	maxLingeringConnections  int // evicted, and read from until the client closes them
-	maxOpenConnections       int // of clients, with those that linger or are turned away
-	maxServerConnections     int
+	connections          connections.Limits // of clients
+	maxServerConnections int
 
 	maxResponseBody int64 // bytes of one response of a server
 	clientMemory    int64 // bytes of all requests and responses together, but for the free bytes of each request
@@ -56,17 +54,18 @@
 	// reservedSockets is the number of descriptors for the listener, the calls of discovery in
 	// flight, peers and the runtime.
 	reservedSockets = 24
+	// waitingSockets is the number of descriptors for connections of clients that are accepted and wait for room.
+	waitingSockets = 1
 	// serverSocketsDivisor: a quarter of the descriptors is for connections to servers.
 	serverSocketsDivisor = 4
 	// idleSocketsDivisor: at most a sixth of the descriptors may be idle connections of
 	// clients. Requests use up to a third of the descriptors, and idle connections must not
 	// keep new ones from reaching the node.
 	idleSocketsDivisor = 6
-	// lingeringSocketsDivisor: a 64th of the descriptors may linger, and at least two.
-	lingeringSocketsDivisor = 64
-	minLingeringSockets     = 2
-	// turnedAwaySockets is the number of descriptors for connections that are closed as soon as they are accepted.
-	turnedAwaySockets = 4
+	// turnoverSocketsDivisor: a 32nd of the descriptors, and at least four, may be connections of clients that are
+	// closing. As many are left to requests that are rejected because all other connections have one in flight.
+	turnoverSocketsDivisor = 32
+	minTurnoverSockets     = 4
 	// clientMemoryDivisor: a quarter of the memory is for requests and responses.
 	clientMemoryDivisor = 4
 	// freeMemoryDivisor: a sixteenth of the memory is divided evenly among the connections of clients, so that short
@@ -87,13 +86,18 @@
 func divideResources(l Limits) resourceLimits {
 	var r resourceLimits
 	r.maxServerConnections = l.Sockets / serverSocketsDivisor
-	r.maxIdleClientConnections = l.Sockets / idleSocketsDivisor
-	r.maxLingeringConnections = max(minLingeringSockets, l.Sockets/lingeringSocketsDivisor)
-	r.maxOpenConnections = l.Sockets - r.maxServerConnections - reservedSockets
-	r.maxClientConnections = r.maxOpenConnections - r.maxLingeringConnections - turnedAwaySockets
+	turnover := max(minTurnoverSockets, l.Sockets/turnoverSocketsDivisor)
+	maxOpen := l.Sockets - r.maxServerConnections - reservedSockets - waitingSockets
+	r.connections = connections.Limits{
+		MaxOpen:     maxOpen,
+		MaxActive:   maxOpen - turnover,
+		MaxInFlight: maxOpen - 2*turnover,
+		MaxIdle:     l.Sockets / idleSocketsDivisor,
+		MinIdleTime: minIdleBeforeEviction,
+	}
 	memory := int64(l.MemoryMB * bytesPerMB)
 	r.clientMemory = memory / clientMemoryDivisor
-	r.freeBytesOfRequest = min(maxFreeBytes, memory/freeMemoryDivisor/int64(r.maxClientConnections))
+	r.freeBytesOfRequest = min(maxFreeBytes, memory/freeMemoryDivisor/int64(maxOpen))
 	r.customerMemory = int(memory / customerMemoryDivisor)
 	r.maxResponseBody = min(memory/singleResponseDivisor, maxSingleResponseBytes)
 	return r
--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -4,163 +4,80 @@
 	"errors"
 	"net"
 	"os"
-	"slices"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/internal/pauseclock"
 	"yardcleat.example/yardcleat/node"
-)
-
-// connState is the state of a connection.
-type connState int
-
-const (
-	stateIdle      connState = iota // no request has begun
-	stateReading                    // a request is being read
-	stateInFlight                   // a complete request is in flight
-	stateLingering                  // the server has closed its sending side
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 type conn struct {
 	server               *Server
 	netConn              net.Conn
 	reader               *http1.Reader
-	evictionEntry        evictionEntry // guarded by the server's lock, as are the next four fields
-	state                connState
-	evicted              bool      // closes in favor of another connection
-	reclaimed            bool      // closes because its memory is wanted for another connection
-	hasSentRequest       bool      // a complete request was read
-	arrived              time.Time // when the first byte of the current request arrived
-	nextArrived          time.Time // when the first byte arrived that was sent ahead of the response; zero: none was
-	firstRequestDeadline time.Time // by when the first request must be complete; zero: it is, or there is no limit
-	pipelineTooLong      bool      // the client pipelined more than the reader buffers
-	disconnected         bool      // the client has closed the connection, or a write failed
+	entry                *connections.Connection // the connection as its limiter knows it
+	arrived              time.Time               // when the first byte of the current request arrived
+	nextArrived          time.Time               // when the first byte arrived that was sent ahead of the response; zero: none was
+	firstRequestDeadline time.Time               // by when the first request must be complete; zero: it is, or there is no limit
+	sentTooFarAhead      bool                    // the client has sent more ahead than the reader buffers
+	disconnected         bool                    // the client has closed the connection, or a write failed
 	memory               connMemory
 	buf                  []byte
 	finalResponses       chan node.FinalResponse
 }
 
-// becomeIdle records that no request is being read or in flight. It returns false if the
-// connection is to be closed.
-func (c *conn) becomeIdle() bool {
-	s := c.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.state = stateIdle; c.evicted {
-		return false
-	}
-	if c.hasSentRequest {
-		if victim := s.evictor.markIdle(&c.evictionEntry, time.Now()); victim != nil {
-			victim.evict()
-		}
-	}
-	return !s.draining || c.awaitsFirstRequest()
-}
-
-// beginReading records that a request has begun to arrive. It returns false if the connection
-// is evicted.
-func (c *conn) beginReading() bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	if c.state = stateReading; c.evicted {
-		return false
-	}
-	c.server.evictor.markAwaitingRequest(&c.evictionEntry, time.Now())
-	return true
-}
-
-// awaitsFirstRequest reports whether the connection may still receive its first request while
-// the server is draining. The caller holds the server's lock.
-func (c *conn) awaitsFirstRequest() bool { return !c.hasSentRequest && !c.server.acceptStopped }
-
-// interruptRead interrupts the connection's pending read if the request that it waits for is
-// no longer accepted. The caller holds the server's lock.
-func (c *conn) interruptRead() {
-	if c.state == stateIdle && !c.awaitsFirstRequest() || c.state == stateReading && c.server.rejectPartial {
-		c.netConn.SetReadDeadline(time.Unix(1, 0))
+// HasUnreadData implements [connections.Owner] and [memory.Owner].
+func (c *conn) HasUnreadData() bool { return pauseclock.HasUnreadData(c.netConn) }
+
+// Interrupt implements [connlimit.Owner].
+func (c *conn) Interrupt(action connections.Action) {
+	switch action {
+	case connections.End, connections.Reject, connections.Close:
+		_ = c.netConn.SetReadDeadline(longAgo)
+	case connections.Cut:
+		_ = c.netConn.SetWriteDeadline(longAgo)
+	case connections.None, connections.Finish: // the phase of the shutdown is looked at after the response
 	}
 }
 
-// evict has a connection without a request in flight closed. The caller holds the server's
-// lock.
-func (c *conn) evict() {
-	if c.evicted = true; c.state != stateLingering {
-		c.netConn.SetReadDeadline(time.Unix(1, 0))
-	}
-}
+// Close implements [connlimit.Owner].
+func (c *conn) Close() { _ = c.netConn.Close() }
 
-// beginRequest records that a complete request was read. It is answered even if the connection
-// was to be evicted.
-func (c *conn) beginRequest() {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	if c.hasSentRequest, c.state = true, stateInFlight; c.evicted {
-		c.evicted = false
-		c.server.evictor.readmit()
-	}
-	c.server.evictor.dequeue(&c.evictionEntry)
-}
+// RemoteAddr implements [connlimit.Owner].
+func (c *conn) RemoteAddr() net.Addr { return c.netConn.RemoteAddr() }
 
-// hasUnreadData reports whether a connection has received bytes that were not read.
-func hasUnreadData(c *conn) bool {
-	r, ok := c.netConn.(interface{ Readable() bool })
-	return ok && r.Readable()
-}
+// longAgo is the deadline that ends what a connection waits for.
+var longAgo = time.Unix(1, 0)
 
-// setReadTimeout sets the time limit of all reads from now on.
+// setReadTimeout sets the time limit of all reads from now on, unless the connection is to end.
 func (c *conn) setReadTimeout(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
 	if !c.firstRequestDeadline.IsZero() && c.firstRequestDeadline.Before(deadline) {
 		deadline = c.firstRequestDeadline
 	}
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	if c.server.rejectPartial || c.evicted || c.reclaimed {
-		deadline = time.Unix(1, 0) // the read was interrupted before it began
-	}
-	c.netConn.SetReadDeadline(deadline)
+	c.setReadDeadline(deadline)
+}
+
+// setReadDeadline sets the deadline of all reads from now on, unless the connection is to end.
+func (c *conn) setReadDeadline(deadline time.Time) {
+	c.server.connections.Arm(c.entry, func(action connections.Action) {
+		if action != connections.None {
+			deadline = longAgo
+		}
+		_ = c.netConn.SetReadDeadline(deadline)
+	})
 }
 
 // maxKeptBuffer is the size, in bytes, up to which the buffer of a response is kept for the next one.
 const maxKeptBuffer = 4 << 10
 
 func (c *conn) serve() {
-	defer func() {
-		if !c.disconnected {
-			c.linger()
-		}
-		c.netConn.Close()
-		c.memory.close()
-		c.server.mu.Lock()
-		delete(c.server.conns, c)
-		if !c.evicted {
-			c.server.evictor.remove(&c.evictionEntry)
-		}
-		c.server.mu.Unlock()
-		c.server.serving.Done()
-	}()
+	defer c.end()
 	if c.server.options.FirstRequestTimeout > 0 {
 		c.firstRequestDeadline = time.Now().Add(c.server.options.FirstRequestTimeout)
 	}
-	for {
-		c.setReadTimeout(c.server.options.IdleTimeout)
-		if !c.becomeIdle() && c.reader.Buffered() == 0 {
-			return
-		}
-		if c.reader.Buffered() == 0 {
-			if err := c.reader.Await(); err != nil {
-				c.disconnected = !errors.Is(err, os.ErrDeadlineExceeded)
-				return
-			}
-		}
-		c.arrived, c.nextArrived = c.nextArrived, time.Time{}
-		if c.arrived.IsZero() {
-			c.arrived = pauseclock.ArrivalTime(c.netConn)
-		}
-		if !c.beginReading() || !c.serveRequest() {
-			return
-		}
+	for c.awaitRequest() && c.serveRequest() {
 		c.firstRequestDeadline = time.Time{}
 		c.memory.request.Close()
 		c.reader.ShrinkBuffer()
@@ -170,47 +87,92 @@
 	}
 }
 
+// end closes the connection.
+func (c *conn) end() {
+	if !c.disconnected {
+		c.linger()
+	}
+	_ = c.netConn.Close()
+	c.memory.close()
+	c.server.connections.Remove(c.entry)
+}
+
+// awaitRequest waits for the first bytes of the next request. It returns false if the connection is to be closed.
+func (c *conn) awaitRequest() bool {
+	keep := c.server.connections.AwaitRequest(c.entry)
+	if c.reader.Buffered() == 0 {
+		if err := c.awaitBytes(keep); err != nil {
+			c.endWait(err)
+			return false
+		}
+	}
+	c.arrived, c.nextArrived = c.nextArrived, time.Time{}
+	if c.arrived.IsZero() {
+		c.arrived = pauseclock.ArrivalTime(c.netConn)
+	}
+	c.server.connections.BeginReading(c.entry)
+	return true
+}
+
+// awaitBytes waits until bytes arrive.
+func (c *conn) awaitBytes(keep bool) error {
+	if !keep {
+		return os.ErrDeadlineExceeded
+	}
+	c.setReadTimeout(c.server.options.IdleTimeout)
+	return c.reader.Await()
+}
+
+// endWait ends the wait for a request. The first request of a connection may be on its way, and is rejected. A client
+// whose later request crosses the end sends it once more on another connection.
+func (c *conn) endWait(err error) {
+	switch {
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		c.disconnected = true
+	case !c.entry.HadRequest():
+		c.reject(nil, err)
+	}
+}
+
+// When the server closes a connection, bytes may still be on their way to it, and the client
+// may still have a response to read. The server therefore closes only its sending side, and
+// reads and discards until the client closes too (RFC 9112, 9.6), within these bounds.
+const (
+	lingerTimeout  = 500 * time.Millisecond // far above a round trip
+	maxLingerBytes = 128 << 10              // above the size of one request with the limits of an edge node
+)
+
 // linger closes the connection's sending side, and reads and discards what still arrives.
 // Closing a connection with unread bytes would reset it, and the client could lose the
 // response before reading it.
 func (c *conn) linger() {
-	s := c.server
-	s.mu.Lock()
-	c.state = stateLingering
-	s.evictor.dequeue(&c.evictionEntry)
-	if c.evicted && s.options.MaxLingeringConnections > 0 {
-		s.evictedLingering = append(s.evictedLingering, c)
-		if len(s.evictedLingering) > s.options.MaxLingeringConnections {
-			s.evictedLingering[0].netConn.SetReadDeadline(time.Unix(1, 0))
-			s.evictedLingering = slices.Delete(s.evictedLingering, 0, 1)
-		}
-	}
-	c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	s.mu.Unlock()
+	c.server.connections.Linger(c.entry)
+	c.setReadDeadline(time.Now().Add(lingerTimeout))
 	if w, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-		w.CloseWrite()
+		_ = w.CloseWrite()
 	}
 	c.reader.Discard(c.reader.Buffered() + maxLingerBytes)
-	s.mu.Lock()
-	if i := slices.Index(s.evictedLingering, c); i >= 0 {
-		s.evictedLingering = slices.Delete(s.evictedLingering, i, i+1)
-	}
-	s.mu.Unlock()
 }
 
-// writeResponse writes the parts of a final response within WriteTimeout. It returns false on failure.
-func (c *conn) writeResponse(parts ...[]byte) bool {
+// writeResponse writes the parts of a final response within a time limit. It returns false on failure.
+func (c *conn) writeResponse(timeout time.Duration, parts ...[]byte) bool {
 	for _, part := range parts {
 		c.memory.beginWriting(len(part))
 	}
 	defer c.memory.endWriting()
-	return c.write(parts...)
+	return c.write(timeout, parts...)
 }
 
-// write writes within WriteTimeout. It returns false on failure.
-func (c *conn) write(parts ...[]byte) bool {
+// write writes within a time limit. It returns false on failure.
+func (c *conn) write(timeout time.Duration, parts ...[]byte) bool {
 	pauseclock.SuspendReading(c.netConn)
-	c.netConn.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
+	c.server.connections.Arm(c.entry, func(action connections.Action) {
+		deadline := time.Now().Add(timeout)
+		if action == connections.Cut {
+			deadline = longAgo
+		}
+		_ = c.netConn.SetWriteDeadline(deadline)
+	})
 	for _, part := range parts {
 		if _, err := c.netConn.Write(part); err != nil {
 			c.disconnected = true
--- a/front/http1/conn_memory.go
+++ b/front/http1/conn_memory.go
@@ -70,31 +70,9 @@
 	m.sentAhead.Close()
 }
 
-// HasUnreadData implements [memory.Owner].
-func (c *conn) HasUnreadData() bool { return hasUnreadData(c) }
-
 // Reclaim implements [memory.Owner]: the request that is being read is rejected, and a response that the client does
 // not read is cut off.
-func (c *conn) Reclaim() {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.reclaimed = true
-	past := time.Unix(1, 0)
-	switch c.state {
-	case stateIdle, stateReading:
-		c.netConn.SetReadDeadline(past)
-	case stateInFlight:
-		c.netConn.SetWriteDeadline(past)
-	case stateLingering: // it is closing already, and its client may still have to read the response
-	}
-}
-
-// isReclaimed reports whether the connection closes because its memory is wanted for another.
-func (c *conn) isReclaimed() bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	return c.reclaimed
-}
+func (c *conn) Reclaim() { c.server.connections.Reclaim(c.entry) }
 
 // logShortage logs that a request was rejected because memory is short.
 func (s *Server) logShortage() {
--- a/front/http1/request.go
+++ b/front/http1/request.go
@@ -11,6 +11,7 @@
 	"yardcleat.example/yardcleat/internal/memory"
 	"yardcleat.example/yardcleat/internal/pauseclock"
 	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 // serveRequest serves one request. It returns false if the connection is to be closed.
@@ -28,7 +29,7 @@
 			return c.reject(head, &http1.Error{Status: 417, Text: "expectation other than 100-continue"})
 		}
 		call.Header.Del("Expect")
-		if head.Framing != http1.NoBody && c.reader.Buffered() == 0 && !c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+		if head.Framing != http1.NoBody && c.reader.Buffered() == 0 && !c.write(c.server.options.WriteTimeout, []byte("HTTP/1.1 100 Continue\r\n\r\n")) {
 			return false
 		}
 	}
@@ -41,39 +42,69 @@
 	if !c.memory.endReading() {
 		return c.reject(head, memory.ErrNoRoom)
 	}
-	c.beginRequest()
-	return c.respond(head, call)
+	admitted := c.server.connections.Complete(c.entry)
+	return c.respond(head, call, admitted)
 }
 
-// respond submits a complete request to the node and writes the response. It returns false if
-// the connection is to be closed.
-func (c *conn) respond(head *http1.Request, call node.HTTPRequest) bool {
+// respond handles a complete request and writes the response. It returns false if the connection is to be closed.
+func (c *conn) respond(head *http1.Request, call node.HTTPRequest, admitted bool) bool {
 	request, early := c.server.options.Mapper.Admit(call, c.server.options.TracePrefix+"-"+strconv.FormatUint(c.server.traceCounter.Add(1), 36))
 	var final node.FinalResponse
-	if early != nil {
+	timeout := c.server.options.WriteTimeout
+	switch {
+	case early != nil:
 		final = *early
-		c.server.options.Log.Info("answer", "answer", final.Kind.String(), "trace", request.Trace, "class", request.Class, "customer", request.Customer,
-			"reason", string(final.Reason), "detail", final.Detail)
-	} else {
+		c.logEarlyResponse(request, final)
+	case !admitted:
+		final = c.overload()
+		c.logEarlyResponse(request, final)
+		timeout = min(timeout, rejectionTimeout)
+	default:
 		request.ClientAddress, request.LocalAddress = c.netConn.RemoteAddr().String(), c.netConn.LocalAddr().String()
 		if final = c.submit(request); c.disconnected {
 			return false
 		}
 	}
-	response := c.server.options.Mapper.Render(request, final)
-	closing := !head.KeepAlive() || c.pipelineTooLong || c.server.isDraining()
+	return c.writeFinalResponse(head, c.server.options.Mapper.Render(request, final), timeout)
+}
+
+// rejectionTimeout is the time for a client to receive the rejection of a request that was not handled. It is
+// shorter than that of other responses, since places for connections are short then.
+const rejectionTimeout = time.Second
+
+// overload returns the final response to a request that is not handled, so that its client may send it elsewhere.
+func (c *conn) overload() node.FinalResponse {
+	if c.server.connections.Phase() >= connections.Aborting {
+		return node.FinalResponse{Kind: node.Rejected, Reason: node.ReasonDraining, Detail: "the time for requests is over"}
+	}
+	return node.FinalResponse{Kind: node.Rejected, Reason: node.ReasonOverload, Detail: "too many requests in flight"}
+}
+
+func (c *conn) logEarlyResponse(request *node.Request, final node.FinalResponse) {
+	c.server.options.Log.Info("answer", "answer", final.Kind.String(), "trace", request.Trace, "class", request.Class, "customer", request.Customer,
+		"reason", string(final.Reason), "detail", final.Detail)
+}
+
+// writeFinalResponse writes a response. It returns false if the connection is to be closed.
+func (c *conn) writeFinalResponse(head *http1.Request, response *node.Response, timeout time.Duration) bool {
+	closing := !head.KeepAlive() || c.isClosing()
 	if len(response.Body) > maxCopiedBody && head.Method != "HEAD" {
 		c.buf = http1.AppendResponseHead(c.buf[:0], head.Method, response.Status, response.Header, len(response.Body), closing)
-		return c.writeResponse(c.buf, response.Body) && !closing
+		return c.writeResponse(timeout, c.buf, response.Body) && !closing
 	}
 	c.buf = http1.AppendResponse(c.buf[:0], head.Method, response.Status, response.Header, response.Body, closing)
-	return c.writeResponse(c.buf) && !closing
+	return c.writeResponse(timeout, c.buf) && !closing
+}
+
+// isClosing reports whether the connection is closed after the response.
+func (c *conn) isClosing() bool {
+	return c.sentTooFarAhead || c.server.connections.Phase() >= connections.Draining
 }
 
 // submit submits a request to the node and waits for its final response, or for the client to
 // disconnect. A client that closes its sending side counts as disconnected.
 func (c *conn) submit(request *node.Request) (final node.FinalResponse) {
-	c.netConn.SetReadDeadline(time.Time{})
+	_ = c.netConn.SetReadDeadline(time.Time{})
 	request.Arrived = c.arrived
 	request.Client = c
 	request.Memory = c.memory.request
@@ -83,7 +114,7 @@
 	var err error
 	select {
 	case final = <-c.finalResponses:
-		c.netConn.SetReadDeadline(time.Unix(1, 0)) // ends watchForDisconnect
+		_ = c.netConn.SetReadDeadline(longAgo) // ends watchForDisconnect
 		err = <-watched
 	case err = <-watched:
 		pauseclock.SuspendReading(c.netConn)
@@ -94,8 +125,8 @@
 			final = node.FinalResponse{Kind: node.Failed, Reason: node.ReasonTooLarge, Detail: "requests sent ahead"}
 		}
 	}
-	c.pipelineTooLong = errors.Is(err, http1.ErrPipelineTooLong)
-	ended := !c.pipelineTooLong && !errors.Is(err, os.ErrDeadlineExceeded)
+	c.sentTooFarAhead = errors.Is(err, http1.ErrPipelineTooLong)
+	ended := !c.sentTooFarAhead && !errors.Is(err, os.ErrDeadlineExceeded)
 	c.disconnected = ended || final.Reason == node.ReasonClientDisconnected
 	return final
 }
@@ -135,7 +166,7 @@
 		method = head.Method
 	}
 	c.buf = http1.AppendResponse(c.buf[:0], method, status, response.Header, response.Body, true)
-	c.writeResponse(c.buf)
+	c.writeResponse(min(c.server.options.WriteTimeout, rejectionTimeout), c.buf)
 	return false
 }
 
@@ -143,14 +174,19 @@
 // has ended, in the middle of the request or before its first byte.
 func (c *conn) rejection(err error) (status int, reason node.Reason) {
 	var protocolError *http1.Error
+	_, endReason := c.server.connections.Action(c.entry)
 	switch {
 	case errors.As(err, &protocolError) && protocolError.Status == http.StatusRequestEntityTooLarge:
 		return protocolError.Status, node.ReasonTooLarge
 	case errors.As(err, &protocolError):
 		return protocolError.Status, node.ReasonBadRequest
-	case errors.Is(err, memory.ErrNoRoom) || c.isReclaimed():
+	case errors.Is(err, memory.ErrNoRoom) || endReason == connections.Memory:
 		c.server.logShortage()
 		return http.StatusServiceUnavailable, node.ReasonOverload
+	case errors.Is(err, os.ErrDeadlineExceeded) && endReason == connections.OpenLimit:
+		return http.StatusServiceUnavailable, node.ReasonOverload
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.server.connections.Phase() >= connections.Stopped:
+		return http.StatusServiceUnavailable, node.ReasonDraining
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, node.ReasonBadRequest
 	}
--- a/front/http2/drain.go
+++ b/front/http2/drain.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"time"
 
 	"golang.org/x/net/http2"
+
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 // When the server ends a connection, requests may still be on their way to it. Closing a connection with unread
@@ -19,28 +22,18 @@
 // drainPrefaceTimeout is how long a draining connection waits for the client preface. GOAWAY can't be sent before it.
 const drainPrefaceTimeout = 200 * time.Millisecond
 
-// drainingText is the debug data of the GOAWAY of a drain.
-const drainingText = "draining"
+// goAwayText is the debug data of the GOAWAY of a connection that ends because the server shuts down, or for another.
+const goAwayText = "closing"
 
-// Drain refuses new connections, sends GOAWAY on the open ones, and waits until the streams
-// accepted before have ended. When the context ends it closes the connections.
-func (s *Server) Drain(ctx context.Context) {
-	s.mu.Lock()
-	s.draining = true
-	for c := range s.conns {
-		go c.sendGoAway(http2.ErrCodeNo, drainingText)
-	}
-	s.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for c := range s.conns {
-			c.netConn.Close()
-		}
-	})
-	defer stop()
-	s.serving.Wait()
-}
+// longAgo is the deadline that ends what a connection waits for.
+var longAgo = time.Unix(1, 0)
+
+// StopServing closes the listener once the connections that have reached it are accepted. Serve returns.
+func (s *Server) StopServing(l net.Listener) error { return s.connections.StopServing(l) }
+
+// Drain sends GOAWAY on all connections, and waits until the streams accepted before have ended. When the context ends
+// it closes the connections.
+func (s *Server) Drain(ctx context.Context) { s.connections.Drain(ctx) }
 
 // sendGoAway sends GOAWAY with the ID of the last accepted stream, unless that was done before. Before the
 // server's SETTINGS are sent it leaves that to handshake. If the code is ErrCodeNo the connection ends once it has no
@@ -76,7 +69,7 @@
 func (c *conn) endIfDrainedLocked() {
 	if c.goAwaySent && !c.ended && len(c.streams) == 0 {
 		c.lingering = true
-		c.netConn.SetReadDeadline(time.Unix(1, 0)) // interrupts serve
+		c.netConn.SetReadDeadline(longAgo) // interrupts serve
 	}
 }
 
@@ -89,9 +82,16 @@
 
 // linger closes the sending direction and discards what the client sends for a while.
 func (c *conn) linger() {
+	c.server.connections.Linger(c.entry)
+	c.server.connections.Arm(c.entry, func(action connections.Action) {
+		deadline := time.Now().Add(lingerTimeout)
+		if action == connections.Close {
+			deadline = longAgo
+		}
+		_ = c.netConn.SetReadDeadline(deadline)
+	})
 	if w, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-		w.CloseWrite()
+		_ = w.CloseWrite()
 	}
-	c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	io.CopyN(io.Discard, c.netConn, maxLingerBytes)
+	_, _ = io.CopyN(io.Discard, c.netConn, maxLingerBytes) // ends when the client closes, or with the time
 }
--- a/front/http2/request.go
+++ b/front/http2/request.go
@@ -21,7 +21,7 @@
 	if st == nil && id > c.lastStreamID && id%2 == 1 && !goingAway {
 		// From here on GOAWAY names the stream as accepted, so that the connection must not end without it.
 		c.lastStreamID = id
-		if !full {
+		if full = full || !c.admitStreamLocked(); !full {
 			opened = c.openStreamLocked(id)
 		}
 	}
@@ -47,6 +47,19 @@
 	return c.beginRequest(opened, f)
 }
 
+// admitStreamLocked records that the connection has a request in flight. It returns false if there are too many
+// connections with one. c.mu must be held.
+func (c *conn) admitStreamLocked() bool {
+	if len(c.streams) > 0 {
+		return true
+	}
+	admitted := c.server.connections.Complete(c.entry)
+	if !admitted {
+		c.server.connections.AwaitRequest(c.entry)
+	}
+	return admitted
+}
+
 // maxFreeBytesOfStream is how many bytes of a request and its response are not charged, if the connection has as many
 // left: enough for a short request.
 const maxFreeBytesOfStream = 1 << 10
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -15,11 +15,13 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"yardcleat.example/yardcleat/front/connlimit"
 	"yardcleat.example/yardcleat/intake"
 	"yardcleat.example/yardcleat/internal/h2"
 	"yardcleat.example/yardcleat/internal/memory"
-	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pauseclock"
 	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 // Handler handles requests; a *node.Node implements it. The caller of Submit calls
@@ -42,12 +44,12 @@
 	MaxConcurrentStreams int   // on one connection
 	// FrameBudget is how many costly frames a connection may send at once. A tenth of it returns
 	// each second. See docs/frames.md.
-	FrameBudget    int
-	HeaderTimeout  time.Duration // for the client preface, and for a header block of several frames
-	BodyTimeout    time.Duration // from a stream's header to the end of its body
-	IdleTimeout    time.Duration // of a connection without streams
-	WriteTimeout   time.Duration // for a client to receive a response
-	MaxConnections int           // further connections are closed at once
+	FrameBudget   int
+	HeaderTimeout time.Duration      // for the client preface, and for a header block of several frames
+	BodyTimeout   time.Duration      // from a stream's header to the end of its body
+	IdleTimeout   time.Duration      // of a connection without streams
+	WriteTimeout  time.Duration      // for a client to receive a response
+	Connections   *connlimit.Limiter // keeps them within their limits; another server may share it
 
 	Memory                *memory.Budget // for requests and their responses; nil: no limit
 	FreeBytesOfConnection int64          // that are not charged to Memory
@@ -56,47 +58,43 @@
 // Server serves HTTP/2 connections.
 type Server struct {
 	options      Options
-	mu           sync.Mutex
-	conns        map[*conn]bool
-	draining     bool
-	serving      sync.WaitGroup
+	connections  *connlimit.Limiter
 	traceCounter atomic.Uint64
 }
 
 // New returns a Server.
-func New(o Options) *Server { return &Server{options: o, conns: map[*conn]bool{}} }
+func New(o Options) *Server { return &Server{options: o, connections: o.Connections} }
 
 // Serve accepts and serves connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return network.AcceptLoop(l, s.options.Log, s.ServeConn)
+	return s.connections.Serve(l, func(nc net.Conn) {
+		c := s.newConn(nc)
+		c.entry = s.connections.Accept(c)
+		go c.serve()
+	})
 }
 
 // ServeConn serves a connection until it ends, and closes it.
 func (s *Server) ServeConn(nc net.Conn) {
-	defer nc.Close()
+	c := s.newConn(nc)
+	c.entry = s.connections.Accept(c)
+	c.serve()
+}
+
+// ServeAccepted serves a connection that the limiter knows already, until it ends, and closes it.
+func (s *Server) ServeAccepted(nc net.Conn, entry *connections.Connection) {
+	c := s.newConn(nc)
+	c.entry = entry
+	s.connections.SetOwner(entry, c)
+	c.serve()
+}
+
+func (s *Server) newConn(nc net.Conn) *conn {
 	c := &conn{server: s, netConn: nc, streams: map[uint32]*stream{},
 		sendWindow: initialWindow, initialSendWindow: initialWindow, maxSendFrameSize: h2.DefaultMaxFrameSize,
 		freeBytes: s.options.FreeBytesOfConnection, frameBudget: float64(s.options.FrameBudget), budgetUpdatedAt: time.Now()}
 	c.changed, c.writeLock = sync.NewCond(&c.mu), h2.NewLock()
-	s.mu.Lock()
-	c.goingAway = s.draining
-	isServed := !s.draining && len(s.conns) < s.options.MaxConnections
-	if isServed {
-		s.conns[c] = true
-		s.serving.Add(1)
-	}
-	s.mu.Unlock()
-	if !isServed {
-		if c.goingAway {
-			c.serve() // sends GOAWAY
-		}
-		return
-	}
-	c.serve()
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.mu.Unlock()
-	s.serving.Done()
+	return c
 }
 
 const (
@@ -113,7 +111,8 @@
 type conn struct {
 	server  *Server
 	netConn net.Conn
-	framer  *http2.Framer // may be used by other goroutines than that of serve once settingsSent is set
+	entry   *connections.Connection // the connection as its limiter knows it
+	framer  *http2.Framer           // may be used by other goroutines than that of serve once settingsSent is set
 
 	writeLock     h2.Lock // guards writes, headerBuffer and headerEncoder
 	headerBuffer  bytes.Buffer
@@ -139,8 +138,35 @@
 	budgetUpdatedAt    time.Time
 }
 
-// serve handles the connection's frames until it ends, and waits for its streams to end.
+// HasUnreadData implements [connections.Owner].
+func (c *conn) HasUnreadData() bool { return pauseclock.HasUnreadData(c.netConn) }
+
+// Interrupt implements [connlimit.Owner]. A connection ends with GOAWAY, which tells which of its requests did not run.
+func (c *conn) Interrupt(action connections.Action) {
+	switch action {
+	case connections.Finish, connections.End, connections.Reject:
+		go c.sendGoAway(http2.ErrCodeNo, goAwayText)
+	case connections.Close:
+		_ = c.netConn.SetReadDeadline(longAgo)
+	case connections.None, connections.Cut: // streams give up their memory themselves
+	}
+}
+
+// Close implements [connlimit.Owner].
+func (c *conn) Close() { _ = c.netConn.Close() }
+
+// RemoteAddr implements [connlimit.Owner].
+func (c *conn) RemoteAddr() net.Addr { return c.netConn.RemoteAddr() }
+
+// serve serves the connection until it ends, and closes it.
 func (c *conn) serve() {
+	c.handleFrames()
+	_ = c.netConn.Close()
+	c.server.connections.Remove(c.entry)
+}
+
+// handleFrames handles the connection's frames until it ends, and waits for its streams to end.
+func (c *conn) handleFrames() {
 	err := c.handshake()
 	if err != nil {
 		return
@@ -217,7 +243,7 @@
 	goingAway := c.goingAway
 	c.mu.Unlock()
 	if goingAway {
-		c.writeGoAway(http2.ErrCodeNo, drainingText)
+		c.writeGoAway(http2.ErrCodeNo, goAwayText)
 	}
 	return nil
 }
--- a/front/http2/stream.go
+++ b/front/http2/stream.go
@@ -79,6 +79,7 @@
 	c.freeBytes += st.freeBytes
 	c.bufferedBodyBytes -= int64(len(st.body))
 	if len(c.streams) == 0 {
+		c.server.connections.AwaitRequest(c.entry)
 		c.setReadDeadlineLocked(time.Now().Add(c.server.options.IdleTimeout))
 		c.endIfDrainedLocked()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,10 +99,9 @@
 // error.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.changePhase((*membership.StateMachine).StartDraining)
-	g.stopListening()
 	var drained sync.WaitGroup
 	for _, l := range g.listeners {
-		drained.Go(func() { l.drain(ctx) })
+		drained.Go(func() { l.drain(ctx, g.options.Log) })
 	}
 	err := g.node.Drain(ctx)
 	drained.Wait()
@@ -131,7 +130,7 @@
 
 // close closes the listeners first, then all other parts.
 func (g *Gateway) close() {
-	g.stopListening()
+	g.closeListeners()
 	g.serving.Wait()
 	g.closers.Close()
 }
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"time"
 
 	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/front/connlimit"
 	"yardcleat.example/yardcleat/front/extauthz"
 	fronthttp "yardcleat.example/yardcleat/front/http1"
 	fronthttp2 "yardcleat.example/yardcleat/front/http2"
 	"yardcleat.example/yardcleat/intake"
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 const (
@@ -40,14 +43,16 @@
 type frontend interface {
 	// Serve accepts connections until the listener is closed, and then returns nil.
 	Serve(net.Listener) error
+	// StopServing closes the listener, so that Serve returns.
+	StopServing(net.Listener) error
 	// Drain returns when all connections are closed, at the latest when the context ends.
 	Drain(context.Context)
 }
 
-// listener is an open listener and the drain function of its frontend.
+// listener is an open listener and its frontend.
 type listener struct {
-	net   net.Listener
-	drain func(context.Context)
+	net      net.Listener
+	frontend frontend
 }
 
 // startListeners opens the configured listeners and serves them.
@@ -71,7 +76,7 @@
 	if err != nil {
 		return errors.Join(err, netListener.Close())
 	}
-	g.listeners = append(g.listeners, listener{netListener, server.Drain})
+	g.listeners = append(g.listeners, listener{netListener, server})
 	g.serving.Go(func() {
 		if err := server.Serve(netListener); err != nil {
 			log.Error("listener failed", "error", err)
@@ -91,15 +96,35 @@
 			RejectionSignal: g.rejectionSignal(),
 		}), nil
 	case config.HTTP2:
-		return g.newHTTP2Server(l, mapper, log), nil
+		return g.newHTTP2Server(l, mapper, g.newLimiter(log), log), nil
 	case config.HTTPS:
-		return newTLSListener(l, g.newHTTP1Server(l, mapper, log), g.newHTTP2Server(l, mapper, log), log)
+		limiter := g.newLimiter(log)
+		return newTLSListener(l, limiter, g.newHTTP1Server(l, mapper, limiter, log), g.newHTTP2Server(l, mapper, limiter, log), log)
 	default:
-		return g.newHTTP1Server(l, mapper, log), nil
+		return g.newHTTP1Server(l, mapper, g.newLimiter(log), log), nil
 	}
 }
 
-func (g *Gateway) newHTTP2Server(l config.Listener, mapper *intake.Mapper, log *slog.Logger) *fronthttp2.Server {
+// minIdleTime is how long a client's connection is normally kept while it is idle, if there are too many.
+const minIdleTime = 2 * time.Second
+
+// turnoverDivisor: a 32nd of the connections may be closing, and as many are left to requests that are rejected because
+// all others have one in flight.
+const turnoverDivisor = 32
+
+// newLimiter returns a limiter for the connections of a listener.
+func (g *Gateway) newLimiter(log *slog.Logger) *connlimit.Limiter {
+	maxOpen := g.cfg.Limits.MaxConnections
+	maxActive := max(1, maxOpen-maxOpen/turnoverDivisor)
+	return connlimit.New(connections.Limits{
+		MaxOpen:     maxOpen,
+		MaxActive:   maxActive,
+		MaxInFlight: max(1, maxActive-maxOpen/turnoverDivisor),
+		MinIdleTime: minIdleTime,
+	}, log)
+}
+
+func (g *Gateway) newHTTP2Server(l config.Listener, mapper *intake.Mapper, limiter *connlimit.Limiter, log *slog.Logger) *fronthttp2.Server {
 	limits := g.cfg.Limits
 	return fronthttp2.New(fronthttp2.Options{
 		Node:                  g.node,
@@ -116,7 +141,7 @@
 		BodyTimeout:           limits.BodyTimeout,
 		IdleTimeout:           limits.IdleTimeout,
 		WriteTimeout:          limits.WriteTimeout,
-		MaxConnections:        limits.MaxConnections,
+		Connections:           limiter,
 		Memory:                g.memory,
 		FreeBytesOfConnection: g.freeBytesOfConnection(),
 	})
@@ -131,7 +156,7 @@
 	return g.cfg.Limits.MaxMemory / freeMemoryDivisor / int64(g.cfg.Limits.MaxConnections)
 }
 
-func (g *Gateway) newHTTP1Server(l config.Listener, mapper *intake.Mapper, log *slog.Logger) *fronthttp.Server {
+func (g *Gateway) newHTTP1Server(l config.Listener, mapper *intake.Mapper, limiter *connlimit.Limiter, log *slog.Logger) *fronthttp.Server {
 	limits := g.cfg.Limits
 	return fronthttp.New(fronthttp.Options{
 		Node:               g.node,
@@ -143,7 +168,7 @@
 		BodyTimeout:        limits.BodyTimeout,
 		IdleTimeout:        limits.IdleTimeout,
 		WriteTimeout:       limits.WriteTimeout,
-		MaxConnections:     limits.MaxConnections,
+		Connections:        limiter,
 		Memory:             g.memory,
 		FreeBytesOfRequest: g.freeBytesOfConnection(),
 	})
@@ -155,11 +180,31 @@
 	return fmt.Sprintf("%s-%d-%x", l.Name, g.cfg.Number, g.options.Seed&(1<<seedBits-1))
 }
 
-// stopListening closes the listeners, so that Serve returns. A second call does nothing.
-func (g *Gateway) stopListening() {
+// closeListeners closes the listeners at once. A second call does nothing.
+func (g *Gateway) closeListeners() {
 	for _, l := range g.listeners {
-		if err := l.net.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-			g.options.Log.Warn("closing a listener failed", "address", l.net.Addr().String(), "error", err)
-		}
+		l.close(g.options.Log)
+	}
+}
+
+// close closes the listener at once, so that its frontend serves no further connections.
+func (l listener) close(log *slog.Logger) {
+	l.logCloseError(l.net.Close(), log)
+	l.logCloseError(l.frontend.StopServing(l.net), log)
+}
+
+// drain stops the listener and ends its connections. If the context has ended already, the listener is closed at once.
+func (l listener) drain(ctx context.Context, log *slog.Logger) {
+	if ctx.Err() != nil {
+		l.close(log)
+	}
+	l.logCloseError(l.frontend.StopServing(l.net), log)
+	l.frontend.Drain(ctx)
+}
+
+// logCloseError logs an error of closing the listener, unless it was closed before.
+func (l listener) logCloseError(err error, log *slog.Logger) {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		log.Warn("closing a listener failed", "address", l.net.Addr().String(), "error", err)
 	}
 }
--- a/gateway/tls.go
+++ b/gateway/tls.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"yardcleat.example/yardcleat/config"
+	"yardcleat.example/yardcleat/front/connlimit"
 	fronthttp "yardcleat.example/yardcleat/front/http1"
 	fronthttp2 "yardcleat.example/yardcleat/front/http2"
-	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pauseclock"
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 const (
@@ -26,6 +28,7 @@
 // ALPN. The certificate is reloaded when its files change; open connections keep the old one.
 type tlsListener struct {
 	config    config.Listener
+	limiter   *connlimit.Limiter
 	http1     *fronthttp.Server
 	http2     *fronthttp2.Server
 	log       *slog.Logger
@@ -58,8 +61,8 @@
 // Unwrap returns the cause.
 func (e *CertificateError) Unwrap() error { return e.Err }
 
-func newTLSListener(l config.Listener, http1 *fronthttp.Server, http2 *fronthttp2.Server, log *slog.Logger) (*tlsListener, error) {
-	t := &tlsListener{config: l, http1: http1, http2: http2, log: log}
+func newTLSListener(l config.Listener, limiter *connlimit.Limiter, http1 *fronthttp.Server, http2 *fronthttp2.Server, log *slog.Logger) (*tlsListener, error) {
+	t := &tlsListener{config: l, limiter: limiter, http1: http1, http2: http2, log: log}
 	files, err := t.statFiles()
 	if err != nil {
 		return nil, err
@@ -137,29 +140,47 @@
 
 // Serve accepts connections until the listener is closed.
 func (t *tlsListener) Serve(l net.Listener) error {
-	return network.AcceptLoop(l, t.log, t.serveConn)
+	return t.limiter.Serve(l, func(nc net.Conn) {
+		h := &handshake{conn: nc}
+		entry := t.limiter.Accept(h)
+		go t.serveConn(h, entry)
+	})
 }
 
-// serveConn takes ownership of a connection, serves it and returns when it has ended.
-func (t *tlsListener) serveConn(conn net.Conn) {
-	tlsConn := tls.Server(conn, t.tlsConfig)
+// handshake is a connection whose TLS handshake is not complete.
+type handshake struct{ conn net.Conn }
+
+// HasUnreadData implements [connections.Owner].
+func (h *handshake) HasUnreadData() bool { return pauseclock.HasUnreadData(h.conn) }
+
+// Interrupt implements [connlimit.Owner]. Nothing can be sent before the handshake, so that the connection is closed.
+func (h *handshake) Interrupt(connections.Action) { _ = h.conn.Close() }
+
+// Close implements [connlimit.Owner].
+func (h *handshake) Close() { _ = h.conn.Close() }
+
+// RemoteAddr implements [connlimit.Owner].
+func (h *handshake) RemoteAddr() net.Addr { return h.conn.RemoteAddr() }
+
+// serveConn serves a connection and returns when it has ended.
+func (t *tlsListener) serveConn(h *handshake, entry *connections.Connection) {
+	tlsConn := tls.Server(h.conn, t.tlsConfig)
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	if err := tlsConn.HandshakeContext(ctx); err != nil {
-		t.log.Debug("TLS handshake failed", "error", errors.Join(err, conn.Close()))
+		t.log.Debug("TLS handshake failed", "error", errors.Join(err, h.conn.Close()))
+		t.limiter.Remove(entry)
 		return
 	}
 	if tlsConn.ConnectionState().NegotiatedProtocol == "h2" {
-		t.http2.ServeConn(tlsConn)
+		t.http2.ServeAccepted(tlsConn, entry)
 	} else {
-		t.http1.ServeConn(tlsConn)
+		t.http1.ServeAccepted(tlsConn, entry)
 	}
 }
 
-// Drain drains the servers of both protocols.
-func (t *tlsListener) Drain(ctx context.Context) {
-	var servers sync.WaitGroup
-	servers.Go(func() { t.http1.Drain(ctx) })
-	servers.Go(func() { t.http2.Drain(ctx) })
-	servers.Wait()
-}
+// StopServing closes the listener once the connections that have reached it are accepted. Serve returns.
+func (t *tlsListener) StopServing(l net.Listener) error { return t.limiter.StopServing(l) }
+
+// Drain ends the connections of both protocols.
+func (t *tlsListener) Drain(ctx context.Context) { t.limiter.Drain(ctx) }
--- a/internal/pauseclock/conn.go
+++ b/internal/pauseclock/conn.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// HasUnreadData reports whether a watched connection holds bytes that were not read, or is at its end. It unwraps TLS
+// connections. For other connections it asks their method Readable, if they have one, and else returns false.
+func HasUnreadData(nc net.Conn) bool {
+	if c := findWatched(nc); c != nil {
+		return c.Readable()
+	}
+	r, ok := nc.(interface{ Readable() bool })
+	return ok && r.Readable()
+}
+
 // readPollInterval is the time between two looks of AwaitRead at a connection.
 const readPollInterval = 500 * time.Microsecond
 
