front/connlimit: the backlog is accepted before the listener closes

What callers would see: a connection that the machine had accepted, and its request, reset at the end of the time for new connections of a shutdown (0.55 s after SIGTERM on an edge node, at once in serve).

Cause: closing a listener resets what its backlog holds. While places are short or the process gets little time there is a backlog.

Looks are counted, not time, so that a pause does not use them up.

--- a/front/connlimit/limiter.go
+++ b/front/connlimit/limiter.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/pauseclock"
 	"yardcleat.example/yardcleat/policy/connections"
 )
 
@@ -103,8 +104,22 @@
 	l.carryOut(l.table.FreeDescriptor(time.Now()))
 }
 
-// StopServing closes a listener. Serve returns, also if there is no room for a connection.
+// backlogChecks is how often it is looked, at an interval of backlogInterval, whether a listener that is to be closed
+// has connections that were not accepted yet.
+const (
+	backlogChecks   = 100
+	backlogInterval = time.Millisecond
+)
+
+// StopServing closes a listener, once the connections that have reached it are accepted: the kernel resets those that it
+// still holds, and their requests with them. Serve returns, also if there is no room for a connection.
 func (l *Limiter) StopServing(listener net.Listener) error {
+	for range backlogChecks {
+		if !pauseclock.HasBacklog(listener) {
+			break
+		}
+		time.Sleep(backlogInterval)
+	}
 	err := listener.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/front/connlimit/limiter_test.go
+++ b/front/connlimit/limiter_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/network"
+	"yardcleat.example/yardcleat/internal/pauseclock"
+	"yardcleat.example/yardcleat/pause"
 	"yardcleat.example/yardcleat/policy/connections"
 )
 
@@ -65,3 +68,45 @@
 		t.Error(err)
 	}
 }
+
+// Guards against requests that get no response because the listener is closed while connections wait to be accepted: the
+// kernel resets them.
+func TestConnectionsThatWaitAreAcceptedBeforeTheListenerIsClosed(t *testing.T) {
+	const dialed = 5
+	clock := pauseclock.New(time.Now(), network.OS{}, pause.DefaultSettings())
+	defer clock.Close()
+	l, err := clock.WatchNetwork(network.OS{}).Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limiter := New(connections.Limits{MaxOpen: dialed}, slog.New(slog.DiscardHandler))
+	accepted, proceed, ended := make(chan struct{}, dialed), make(chan struct{}), make(chan error, 1)
+	go func() {
+		ended <- limiter.Serve(l, func(nc net.Conn) {
+			defer func() { _ = nc.Close() }()
+			accepted <- struct{}{}
+			<-proceed
+		})
+	}()
+	for range dialed {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = nc.Close() }()
+	}
+	<-accepted
+	stopped := make(chan error, 1)
+	go func() { stopped <- limiter.StopServing(l) }()
+	time.Sleep(5 * time.Millisecond)
+	close(proceed)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if n := 1 + len(accepted); n != dialed {
+		t.Errorf("%d connections of %d were accepted", n, dialed)
+	}
+}
--- a/internal/pauseclock/network.go
+++ b/internal/pauseclock/network.go
@@ -58,6 +58,12 @@
 	socket *socketState
 }
 
+// HasBacklog reports whether a connection waits to be accepted from a watched listener. For others it returns false.
+func HasBacklog(l net.Listener) bool {
+	w, ok := l.(*watchedListener)
+	return ok && w.socket.readable()
+}
+
 // Accept accepts a connection, which arrived no earlier than the listener was last found empty.
 func (l *watchedListener) Accept() (net.Conn, error) {
 	l.socket.beforeRead()
