internal/pauseclock: a listener that waits for room holds up no event loop

What callers saw: answers up to 0.2 s later after each pause of the process while places for connections were short; together with the wait for a place that is much of what clients with short deadlines have.

Cause: after a pause the event loop waits until all sockets are read. A listener whose accept loop waits for room isn't read, nor is the connection that is held meanwhile, and room may come only once the loop goes on: each pause cost the whole limit, 200 ms.

Change: both are marked as suspended while they wait, as connections whose readers wait for the loop are already.

TestListenerWithoutRoomIsNotUnread does not compile without the change.

--- a/front/connlimit/limiter.go
+++ b/front/connlimit/limiter.go
@@ -63,7 +63,7 @@
 		nc, err := listener.Accept()
 		switch {
 		case err == nil:
-			l.awaitRoom()
+			l.awaitRoom(listener, nc)
 			start(nc)
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -82,10 +82,12 @@
 }
 
 // awaitRoom waits until there is room for a connection that was accepted, or until StopServing.
-func (l *Limiter) awaitRoom() {
+func (l *Limiter) awaitRoom(listener net.Listener, accepted net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for !l.table.HasRoom() && !l.ended {
+		pauseclock.SuspendAccepting(listener)
+		pauseclock.SuspendReading(accepted)
 		l.carryOut(l.table.MakeRoom(time.Now()))
 		recheck := time.AfterFunc(recheckInterval, l.changed.Broadcast)
 		l.changed.Wait()
--- a/internal/pauseclock/clock_test.go
+++ b/internal/pauseclock/clock_test.go
@@ -178,3 +178,53 @@
 		t.Error("Now returned no time after Close")
 	}
 }
+
+// Guards against a listener that holds up the event loop after each pause: it is not read while there is no room for
+// another connection, and there may be none before the event loop goes on.
+func TestListenerWithoutRoomIsNotUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(time.Millisecond, 1)
+		host := memory.Host("node")
+		clock := New(time.Now(), host, pause.DefaultSettings())
+		defer clock.Close()
+		listener, err := clock.WatchNetwork(host).Listen("10.0.0.1:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		dial := func() {
+			peer, err := memory.Host("peer").Dial(context.Background(), "10.0.0.1:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = peer.Close() })
+		}
+		dial()
+		time.Sleep(10 * time.Millisecond)
+		host.Pause()
+		time.Sleep(time.Second)
+		host.Resume()
+		clock.Now()
+		if n := clock.UnreadSockets(); n != 1 {
+			t.Errorf("%d unread sockets, want the listener", n)
+		}
+		SuspendAccepting(listener)
+		if n := clock.UnreadSockets(); n != 0 {
+			t.Errorf("%d unread sockets while there is no room", n)
+		}
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = accepted.Close() }()
+		dial()
+		time.Sleep(10 * time.Millisecond)
+		host.Pause()
+		time.Sleep(time.Second)
+		host.Resume()
+		clock.Now()
+		if n := clock.UnreadSockets(); n != 1 {
+			t.Errorf("%d unread sockets, want the listener again", n)
+		}
+	})
+}
--- a/internal/pauseclock/network.go
+++ b/internal/pauseclock/network.go
@@ -50,6 +50,7 @@
 	if !s.readable() {
 		s.markEmpty()
 	}
+	s.suspended.Store(false)
 	s.reading.Store(true)
 }
 
@@ -58,6 +59,15 @@
 	socket *socketState
 }
 
+// SuspendAccepting records that no connection is accepted from a watched listener before something else has happened,
+// such as the end of another connection. Until the next Accept the listener does not count as unread; see
+// SuspendReading.
+func SuspendAccepting(l net.Listener) {
+	if w, ok := l.(*watchedListener); ok {
+		w.socket.suspended.Store(true)
+	}
+}
+
 // HasBacklog reports whether a connection waits to be accepted from a watched listener. For others it returns false.
 func HasBacklog(l net.Listener) bool {
 	w, ok := l.(*watchedListener)
