front/http1: a request that came before its connection's time was over is served

What callers would see: after a stop of the process that outlasts a connection's time (20 s idle; 2.5 s for the first request), requests that had come meanwhile were answered by 408 on new connections, and had to be sent again on others. Found by reading; not seen in the evidence.

Cause: a read whose time is over returns without a look at the socket, so what arrived while the process did not run counted as late.

Change: if bytes are there when the time is over, they are read with a new time. A connection that is to end for another is not affected.

--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -120,6 +120,13 @@
 		return os.ErrDeadlineExceeded
 	}
 	c.setReadTimeout(c.server.options.IdleTimeout)
+	err := c.reader.Await()
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.HasUnreadData() {
+		return err
+	}
+	// The bytes came before the time was over, and the process did not run: the next read has a time of its own.
+	c.firstRequestDeadline = time.Time{}
+	c.setReadTimeout(c.server.options.IdleTimeout)
 	return c.reader.Await()
 }
 
