front/http1: requests behind more than is read ahead are rejected, not dropped

What callers saw: a client that sent hundreds of requests at once got one answer and then the end of its connection; the requests behind, up to 80 KiB of them already read, got none.

Cause: a client that sends more ahead than is buffered can't be seen to disconnect, so its request in flight was ended, and the connection with it (pipelineTooLong).

Change: the connection stays. Until all that the client has sent is read, its requests are rejected by 503 and none is submitted, so that no attempt begins for a client that has gone; then it is served as before.

TestDisconnectWithPipelinedRequests, which has the client that leaves, passes unchanged.

--- a/front/http1/close_test.go
+++ b/front/http1/close_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"yardcleat.example/yardcleat/front/connlimit"
 	"yardcleat.example/yardcleat/internal/http1"
 	"yardcleat.example/yardcleat/node"
@@ -23,6 +25,22 @@
 	*net.TCPConn
 	readWaiting chan struct{} // receives a value when a read waits at the gate
 	allowRead   chan struct{} // each value lets one read proceed; closed: reads no longer wait
+	isPolled    bool          // Readable asks the operating system
+}
+
+// Readable reports whether bytes are unread in the socket, if the connection is polled.
+func (c *gatedConn) Readable() bool {
+	raw, err := c.SyscallConn()
+	if !c.isPolled || err != nil {
+		return false
+	}
+	readable := false
+	err = raw.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds[:], 0)
+		readable = err == nil && n > 0
+	})
+	return err == nil && readable
 }
 
 func (c *gatedConn) Read(b []byte) (int, error) {
@@ -123,6 +141,17 @@
 
 // withConnection serves one TCP connection on which each read waits at the gate, and calls f.
 func withConnection(t *testing.T, change func(*Options), f func(s *fixture)) {
+	t.Helper()
+	withGatedConnection(t, false, change, f)
+}
+
+// withPolledConnection is withConnection for a connection that the server can ask whether bytes are unread.
+func withPolledConnection(t *testing.T, f func(s *fixture)) {
+	t.Helper()
+	withGatedConnection(t, true, nil, f)
+}
+
+func withGatedConnection(t *testing.T, isPolled bool, change func(*Options), f func(s *fixture)) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -147,7 +176,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.conn = &gatedConn{TCPConn: nc.(*net.TCPConn), readWaiting: make(chan struct{}, 100), allowRead: make(chan struct{}, 100)}
+	s.conn = &gatedConn{TCPConn: nc.(*net.TCPConn), readWaiting: make(chan struct{}, 100), allowRead: make(chan struct{}, 100), isPolled: isPolled}
 	served := make(chan struct{})
 	go func() {
 		s.server.ServeConn(s.conn)
--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -20,7 +20,7 @@
 	arrived              time.Time               // when the first byte of the current request arrived
 	nextArrived          time.Time               // when the first byte arrived that was sent ahead of the response; zero: none was
 	firstRequestDeadline time.Time               // by when the first request must be complete; zero: it is, or there is no limit
-	sentTooFarAhead      bool                    // the client has sent more ahead than the reader buffers
+	sentTooFarAhead      bool                    // the client has sent more ahead than the reader buffers, and not all of it is read
 	disconnected         bool                    // the client has closed the connection, or a write failed
 	memory               connMemory
 	buf                  []byte
--- a/front/http1/request.go
+++ b/front/http1/request.go
@@ -55,7 +55,7 @@
 	case early != nil:
 		final = *early
 		c.logEarlyResponse(request, final)
-	case !admitted:
+	case !admitted || c.isTooFarAhead():
 		final = c.overload()
 		c.logEarlyResponse(request, final)
 		timeout = min(timeout, rejectionTimeout)
@@ -77,7 +77,7 @@
 	if c.server.connections.Phase() >= connections.Aborting {
 		return node.FinalResponse{Kind: node.Rejected, Reason: node.ReasonDraining, Detail: "the time for requests is over"}
 	}
-	return node.FinalResponse{Kind: node.Rejected, Reason: node.ReasonOverload, Detail: "too many requests in flight"}
+	return node.FinalResponse{Kind: node.Rejected, Reason: node.ReasonOverload, Detail: "too many requests in flight, or sent ahead"}
 }
 
 func (c *conn) logEarlyResponse(request *node.Request, final node.FinalResponse) {
@@ -97,8 +97,13 @@
 }
 
 // isClosing reports whether the connection is closed after the response.
-func (c *conn) isClosing() bool {
-	return c.sentTooFarAhead || c.server.connections.Phase() >= connections.Draining
+func (c *conn) isClosing() bool { return c.server.connections.Phase() >= connections.Draining }
+
+// isTooFarAhead reports whether the client has sent so much ahead that it can't be noticed if it disconnects. Its
+// requests are rejected until all that it has sent is read.
+func (c *conn) isTooFarAhead() bool {
+	c.sentTooFarAhead = c.sentTooFarAhead && (c.reader.Buffered() > 0 || c.HasUnreadData())
+	return c.sentTooFarAhead
 }
 
 // submit submits a request to the node and waits for its final response, or for the client to
