front/http1: requests sent ahead are answered when the server shuts down

What callers would see: a client that had sent several requests at once when SIGTERM came got the answer to the first, and the end of the connection for the others, which were read already.

Cause: every response of a shutdown closed its connection, whatever lay in the buffer behind it.

Change: a connection closes after a response only if nothing has arrived behind its request; in the last quarter of a second of a shutdown, only if nothing was read.

--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -114,9 +114,9 @@
 	return true
 }
 
-// awaitBytes waits until bytes arrive.
+// awaitBytes waits until bytes arrive. If the connection is not to be kept it reads only what has arrived already.
 func (c *conn) awaitBytes(keep bool) error {
-	if !keep {
+	if !keep && !c.HasUnreadData() {
 		return os.ErrDeadlineExceeded
 	}
 	c.setReadTimeout(c.server.options.IdleTimeout)
--- a/front/http1/request.go
+++ b/front/http1/request.go
@@ -96,8 +96,13 @@
 	return c.writeResponse(timeout, c.buf) && !closing
 }
 
-// isClosing reports whether the connection is closed after the response.
-func (c *conn) isClosing() bool { return c.server.connections.Phase() >= connections.Draining }
+// isClosing reports whether the connection is closed after the response because the server shuts down. Requests that
+// the client has sent ahead are owed a response, until the last moment.
+func (c *conn) isClosing() bool {
+	phase := c.server.connections.Phase()
+	sentAhead := c.reader.Buffered() > 0 || c.HasUnreadData()
+	return phase >= connections.Draining && !sentAhead || phase >= connections.Aborting && c.reader.Buffered() == 0
+}
 
 // isTooFarAhead reports whether the client has sent so much ahead that it can't be noticed if it disconnects. Its
 // requests are rejected until all that it has sent is read.
--- a/front/http1/sent_ahead_test.go
+++ b/front/http1/sent_ahead_test.go
@@ -43,3 +43,25 @@
 		s.expectResponse("/after")
 	})
 }
+
+// Guards against requests that were read ahead and get no response because the server shuts down.
+func TestRequestsSentAheadAreAnsweredAtShutdown(t *testing.T) {
+	const ahead = 20
+	withPolledConnection(t, func(s *fixture) {
+		s.removeGate()
+		s.send(request("/open", ""))
+		<-s.node.submitted
+		s.send(strings.Repeat(request("/ahead", ""), ahead))
+		s.server.StartDraining()
+		for range 1 + ahead {
+			s.node.allowReply <- struct{}{}
+		}
+		if byStatus := s.expectResponses(1 + ahead); byStatus[200] != 1+ahead {
+			t.Errorf("responses by status: %v", byStatus)
+		}
+		for len(s.node.submitted) > 0 {
+			<-s.node.submitted
+		}
+		s.expectCleanClose()
+	})
+}
