front/http2: a connection whose time is over ends with GOAWAY

What callers would see: a request that crossed the end of an idle HTTP/2 connection got neither a response nor a GOAWAY, so its client could not tell whether it ran; and one in flight got no response if the header of another on its connection did not come in time.

Cause: an error of reading, a time limit among them, aborted all streams and closed the connection at once.

--- a/front/http2/drain_test.go
+++ b/front/http2/drain_test.go
@@ -1,11 +1,15 @@
 package http2
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"golang.org/x/net/http2"
+
+	"yardcleat.example/yardcleat/node"
 )
 
 // A connection that is draining while its preface arrives must not get frames before the server's SETTINGS
@@ -67,3 +71,60 @@
 		}
 	}
 }
+
+// Guards against a client that can't tell whether its request ran, because it crossed the end of a connection that was
+// idle for too long.
+func TestIdleTimeoutTellsWhichRequestsDidNotRun(t *testing.T) {
+	s := startTestServer(t, func(o *Options) { o.IdleTimeout = 20 * time.Millisecond })
+	s.send([]byte(http2.ClientPreface))
+	var goAway *http2.GoAwayFrame
+	var err error
+	for err == nil {
+		var f http2.Frame
+		if f, err = s.framer.ReadFrame(); err == nil && f.Header().Type == http2.FrameGoAway {
+			goAway = f.(*http2.GoAwayFrame)
+			s.send(requestFrames(1, false))
+		}
+	}
+	if goAway == nil || goAway.ErrCode != http2.ErrCodeNo || goAway.LastStreamID != 0 {
+		t.Errorf("GOAWAY %+v", goAway)
+	}
+	if err != io.EOF {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
+
+// lateNode serves every request after a while.
+type lateNode struct{ after time.Duration }
+
+func (n lateNode) Submit(_ *node.Request, reply func(node.FinalResponse)) func() {
+	timer := time.AfterFunc(n.after, func() {
+		reply(node.FinalResponse{Kind: node.Served, Response: &node.Response{Status: 200}})
+	})
+	return func() {
+		if timer.Stop() {
+			reply(node.FinalResponse{Kind: node.Failed, Reason: node.ReasonClientDisconnected})
+		}
+	}
+}
+
+// Guards against a request in flight that gets no response because the header of another on its connection does not come
+// in time.
+func TestRequestInFlightIsAnsweredWhenAHeaderTimesOut(t *testing.T) {
+	s := startTestServer(t, func(o *Options) { o.HeaderTimeout, o.Node = 20*time.Millisecond, lateNode{100 * time.Millisecond} })
+	s.send([]byte(http2.ClientPreface))
+	s.send(requestFrames(1, false))
+	var partial bytes.Buffer
+	_ = http2.NewFramer(&partial, nil).WriteHeaders(http2.HeadersFrameParam{StreamID: 3, BlockFragment: []byte{0x82}}) // writes to a buffer
+	s.send(partial.Bytes())
+	isAnswered := false
+	for err := error(nil); err == nil; {
+		var f http2.Frame
+		if f, err = s.framer.ReadFrame(); err == nil && f.Header().Type == http2.FrameHeaders && f.Header().StreamID == 1 {
+			isAnswered = true
+		}
+	}
+	if !isAnswered {
+		t.Error("no response to the request in flight")
+	}
+}
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,28 +187,46 @@
 			}
 		}
 	}
+	c.endAfter(err)
+}
+
+// endAfter ends the connection after an error of reading, and waits for its streams to end.
+func (c *conn) endAfter(err error) {
 	if errors.Is(err, http2.ErrFrameTooLarge) {
 		err = http2.ConnectionError(http2.ErrCodeFrameSize)
 	}
-	var ce http2.ConnectionError
-	if errors.As(err, &ce) {
-		c.sendGoAway(http2.ErrCode(ce), "")
+	var connectionError http2.ConnectionError
+	isFatal := errors.As(err, &connectionError)
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case isFatal:
+		c.sendGoAway(http2.ErrCode(connectionError), "")
+	case timedOut: // the requests in flight get their responses
+		c.sendGoAway(http2.ErrCodeNo, goAwayText)
 	}
 	c.mu.Lock()
-	c.ended = true
-	for _, st := range c.streams {
-		c.abortLocked(st)
+	if !timedOut {
+		c.abortAllLocked()
 	}
 	for len(c.streams) > 0 {
 		c.changed.Wait() // the node always replies, so that each stream is removed
 	}
+	c.ended = true
 	lingering := c.lingering
 	c.mu.Unlock()
-	if ce != 0 || lingering {
+	if isFatal || lingering {
 		c.linger()
 	}
 }
 
+// abortAllLocked aborts all streams. c.mu must be held.
+func (c *conn) abortAllLocked() {
+	c.ended = true
+	for _, st := range c.streams {
+		c.abortLocked(st)
+	}
+}
+
 // errNoPreface is the error of a connection that does not begin with the client preface.
 var errNoPreface = errors.New("http2: no client preface")
 
