internal/pauseclock: a look at a socket that a signal interrupts is repeated

What callers would see: an attempt that begins for a client that has closed its connection, or a connection that is ended for another though bytes have arrived on it.

Cause: poll(2) with an error counted as "nothing has happened".

Measured: TestInterruptedPollIsRepeated fails without the loop and passes with it.

--- a/internal/pauseclock/tcp_linux.go
+++ b/internal/pauseclock/tcp_linux.go
@@ -27,9 +27,10 @@
 	event            int16
 	resultWhenClosed bool // the result for a socket that this process has closed
 
-	mu       sync.Mutex
-	pollFunc func(fd uintptr) // the method pollDescriptor, bound once to save allocations
-	happened bool
+	mu          sync.Mutex
+	pollFunc    func(fd uintptr) // the method pollDescriptor, bound once to save allocations
+	descriptors [1]unix.PollFd   // kept for the same reason
+	happened    bool
 }
 
 // newPollFunc returns the method poll of a poller of the socket.
@@ -58,9 +59,18 @@
 }
 
 func (p *socketPoller) pollDescriptor(fd uintptr) {
-	fds := [1]unix.PollFd{{Fd: int32(fd), Events: p.event}}
-	n, err := unix.Poll(fds[:], 0)
-	p.happened = err == nil && n > 0
+	p.descriptors[0] = unix.PollFd{Fd: int32(fd), Events: p.event}
+	p.happened = hasEvent(unix.Poll, p.descriptors[:])
+}
+
+// hasEvent reports whether an event, an error or a hang-up has happened on a descriptor. A call that a signal interrupts
+// is repeated.
+func hasEvent(poll func(descriptors []unix.PollFd, timeout int) (int, error), descriptors []unix.PollFd) bool {
+	n, err := poll(descriptors, 0)
+	for errors.Is(err, unix.EINTR) {
+		n, err = poll(descriptors, 0)
+	}
+	return err == nil && n > 0
 }
 
 // newConnReader returns a reader that enables the kernel's timestamps of TCP segments
--- a/internal/pauseclock/tcp_linux_test.go
+++ b/internal/pauseclock/tcp_linux_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"yardcleat.example/yardcleat/internal/network"
 	"yardcleat.example/yardcleat/pause"
 )
@@ -111,3 +113,31 @@
 		t.Error("a connection closed by this process is not reported as closed")
 	}
 }
+
+// Guards against a client's close, or bytes that have arrived, that are not seen because a signal interrupts the look at
+// the socket.
+func TestInterruptedPollIsRepeated(t *testing.T) {
+	interruptions := 2
+	poll := func(fds []unix.PollFd, timeout int) (int, error) {
+		if interruptions > 0 {
+			interruptions--
+			return -1, unix.EINTR
+		}
+		return unix.Poll(fds, timeout)
+	}
+	var pipe [2]int
+	if err := unix.Pipe(pipe[:]); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _, _ = unix.Close(pipe[0]), unix.Close(pipe[1]) }()
+	if hasEvent(poll, []unix.PollFd{{Fd: int32(pipe[0]), Events: unix.POLLIN}}) {
+		t.Error("an empty pipe is reported as readable")
+	}
+	if _, err := unix.Write(pipe[1], []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	interruptions = 2
+	if !hasEvent(poll, []unix.PollFd{{Fd: int32(pipe[0]), Events: unix.POLLIN}}) {
+		t.Error("a pipe that holds a byte is not reported as readable")
+	}
+}
