front/connlimit: a shutdown accepts what had reached the listener

Cause: the listener was closed after 100 looks at its backlog. Clients that connect again and again keep it from getting empty, and with little time of the processor the connections from before were still behind it.

Change: the kernel tells the length of the backlog (TCP_INFO of the listener). The listener is closed once as many connections are accepted, or when the time for final responses comes; what has come since is not owed anything by then.

--- a/edgenode/drain.go
+++ b/edgenode/drain.go
@@ -27,8 +27,7 @@
 	e.draining.Store(true)
 	e.front.StartDraining()
 	waitUntil(ctx, begun.Add(plan.stopAccepting))
-	e.logCloseError(e.front.StopServing(e.listener))
-	e.serving.Wait()
+	e.stopServing(ctx, begun.Add(plan.finalResponses))
 	e.front.StopAccepting()
 
 	finalResponses := time.AfterFunc(time.Until(begun.Add(plan.finalResponses)), e.sendFinalResponses)
@@ -64,14 +63,23 @@
 	e.closers.Close()
 }
 
+// stopServing closes the listener once the connections that have reached it are accepted, or at a time.
+func (e *Edge) stopServing(ctx context.Context, latest time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	e.logCloseError(e.front.StopServing(ctx, e.listener))
+	e.serving.Wait()
+}
+
 // closeListener closes the listener at once, if it is open.
 func (e *Edge) closeListener() {
-	if e.listener == nil {
-		return
-	}
-	e.logCloseError(e.listener.Close())
-	if e.front != nil {
-		e.logCloseError(e.front.StopServing(e.listener))
+	switch {
+	case e.front != nil:
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		e.logCloseError(e.front.StopServing(ctx, e.listener))
+	case e.listener != nil:
+		e.logCloseError(e.listener.Close())
 	}
 }
 
--- a/front/connlimit/limiter.go
+++ b/front/connlimit/limiter.go
@@ -37,6 +37,8 @@
 	table   *connections.Table
 	ended   bool // no connections are accepted any more
 	report  report
+
+	accepted int // connections that Serve has accepted
 }
 
 // New returns a limiter without connections.
@@ -75,6 +77,13 @@
 	return nil
 }
 
+// acceptedConnections returns the number of connections that Serve has accepted.
+func (l *Limiter) acceptedConnections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.accepted
+}
+
 func (l *Limiter) hasEnded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -85,6 +94,7 @@
 func (l *Limiter) awaitRoom(listener net.Listener, accepted net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.accepted++
 	for !l.table.HasRoom() && !l.ended {
 		pauseclock.SuspendAccepting(listener)
 		pauseclock.SuspendReading(accepted)
@@ -106,18 +116,21 @@
 	l.carryOut(l.table.FreeDescriptor(time.Now()))
 }
 
-// backlogChecks is how often it is looked, at an interval of backlogInterval, whether a listener that is to be closed
-// has connections that were not accepted yet.
+// The backlog of a listener that is to be closed is looked at with an interval. If its length is not known, it is looked
+// at maxBacklogChecks times at most: clients may connect again and again, so that it is never empty.
 const (
-	backlogChecks   = 100
-	backlogInterval = time.Millisecond
+	backlogInterval  = time.Millisecond
+	maxBacklogChecks = 100
 )
 
-// StopServing closes a listener, once the connections that have reached it are accepted: the kernel resets those that it
-// still holds, and their requests with them. Serve returns, also if there is no room for a connection.
-func (l *Limiter) StopServing(listener net.Listener) error {
-	for range backlogChecks {
-		if !pauseclock.HasBacklog(listener) {
+// StopServing closes a listener, once the connections that have reached it by now are accepted, or when the context ends:
+// the kernel resets those that it still holds, and their requests with them. Serve returns, also if there is no
+// room for a connection.
+func (l *Limiter) StopServing(ctx context.Context, listener net.Listener) error {
+	waiting, isKnown := pauseclock.BacklogLength(listener)
+	last := l.acceptedConnections() + waiting + 1 // one more may be accepted and not counted yet
+	for checks := 0; ctx.Err() == nil && pauseclock.HasBacklog(listener); checks++ {
+		if isKnown && l.acceptedConnections() >= last || !isKnown && checks == maxBacklogChecks {
 			break
 		}
 		time.Sleep(backlogInterval)
--- a/front/connlimit/limiter_test.go
+++ b/front/connlimit/limiter_test.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"testing"
@@ -61,7 +62,7 @@
 	<-accepted
 	close(closing)
 	<-accepted
-	if err := limiter.StopServing(l); err != nil {
+	if err := limiter.StopServing(context.Background(), l); err != nil {
 		t.Error(err)
 	}
 	if err := <-ended; err != nil {
@@ -97,7 +98,7 @@
 	}
 	<-accepted
 	stopped := make(chan error, 1)
-	go func() { stopped <- limiter.StopServing(l) }()
+	go func() { stopped <- limiter.StopServing(context.Background(), l) }()
 	time.Sleep(5 * time.Millisecond)
 	close(proceed)
 	if err := <-stopped; err != nil {
@@ -110,3 +111,51 @@
 		t.Errorf("%d connections of %d were accepted", n, dialed)
 	}
 }
+
+// Guards against a listener that is not closed, or closed too early, because clients connect again and again: it is closed
+// once those that had reached it are accepted.
+func TestListenerIsClosedWhileClientsComeOn(t *testing.T) {
+	const before = 20
+	clock := pauseclock.New(time.Now(), network.OS{}, pause.DefaultSettings())
+	defer clock.Close()
+	l, err := clock.WatchNetwork(network.OS{}).Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func() bool {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err == nil {
+			t.Cleanup(func() { _ = nc.Close() })
+		}
+		return err == nil
+	}
+	for range before {
+		dial()
+	}
+	limiter := New(connections.Limits{MaxOpen: before}, slog.New(slog.DiscardHandler))
+	accepted, ended, comingOn := make(chan struct{}, 100_000), make(chan error, 1), make(chan struct{})
+	go func() {
+		defer close(comingOn)
+		for dial() {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}()
+	stopped := make(chan error, 1)
+	go func() { stopped <- limiter.StopServing(context.Background(), l) }()
+	go func() {
+		ended <- limiter.Serve(l, func(nc net.Conn) {
+			time.Sleep(10 * time.Millisecond)
+			_ = nc.Close()
+			accepted <- struct{}{}
+		})
+	}()
+	for _, result := range []chan error{stopped, ended} {
+		if err := <-result; err != nil {
+			t.Error(err)
+		}
+	}
+	<-comingOn
+	if n := len(accepted); n < before {
+		t.Errorf("%d connections of %d were accepted", n, before)
+	}
+}
--- a/front/extauthz/server.go
+++ b/front/extauthz/server.go
@@ -99,7 +99,7 @@
 }
 
 // StopServing closes the listener. Serve returns.
-func (s *Server) StopServing(l net.Listener) error { return l.Close() }
+func (s *Server) StopServing(_ context.Context, l net.Listener) error { return l.Close() }
 
 // Drain accepts no new calls and waits for the Checks in flight, at most until the context ends.
 // Log streams do not end by themselves: they stay open a little longer for the last entries.
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -99,8 +99,11 @@
 // New connections are still accepted, for one request each.
 func (s *Server) StartDraining() { s.connections.Advance(connections.Draining) }
 
-// StopServing closes the listener once the connections that have reached it are accepted. Serve returns.
-func (s *Server) StopServing(l net.Listener) error { return s.connections.StopServing(l) }
+// StopServing closes the listener once the connections that have reached it are accepted, or when the context ends. Serve
+// returns.
+func (s *Server) StopServing(ctx context.Context, l net.Listener) error {
+	return s.connections.StopServing(ctx, l)
+}
 
 // StopAccepting does what StartDraining does, and ends connections that have brought no request.
 func (s *Server) StopAccepting() { s.connections.Advance(connections.Stopped) }
--- a/front/http2/drain.go
+++ b/front/http2/drain.go
@@ -28,8 +28,11 @@
 // longAgo is the deadline that ends what a connection waits for.
 var longAgo = time.Unix(1, 0)
 
-// StopServing closes the listener once the connections that have reached it are accepted. Serve returns.
-func (s *Server) StopServing(l net.Listener) error { return s.connections.StopServing(l) }
+// StopServing closes the listener once the connections that have reached it are accepted, or when the context ends. Serve
+// returns.
+func (s *Server) StopServing(ctx context.Context, l net.Listener) error {
+	return s.connections.StopServing(ctx, l)
+}
 
 // Drain sends GOAWAY on all connections, and waits until the streams accepted before have ended. When the context ends
 // it closes the connections.
--- a/front/http2/limit_test.go
+++ b/front/http2/limit_test.go
@@ -38,7 +38,7 @@
 		_ = response.Body.Close()
 		defer transport.CloseIdleConnections()
 	}
-	if err := s.StopServing(l); err != nil {
+	if err := s.StopServing(context.Background(), l); err != nil {
 		t.Error(err)
 	}
 	if err := <-served; err != nil {
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -43,8 +43,8 @@
 type frontend interface {
 	// Serve accepts connections until the listener is closed, and then returns nil.
 	Serve(net.Listener) error
-	// StopServing closes the listener, so that Serve returns.
-	StopServing(net.Listener) error
+	// StopServing closes the listener, at the latest when the context ends, so that Serve returns.
+	StopServing(context.Context, net.Listener) error
 	// Drain returns when all connections are closed, at the latest when the context ends.
 	Drain(context.Context)
 }
@@ -182,23 +182,16 @@
 
 // closeListeners closes the listeners at once. A second call does nothing.
 func (g *Gateway) closeListeners() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
 	for _, l := range g.listeners {
-		l.close(g.options.Log)
+		l.logCloseError(l.frontend.StopServing(ctx, l.net), g.options.Log)
 	}
 }
 
-// close closes the listener at once, so that its frontend serves no further connections.
-func (l listener) close(log *slog.Logger) {
-	l.logCloseError(l.net.Close(), log)
-	l.logCloseError(l.frontend.StopServing(l.net), log)
-}
-
-// drain stops the listener and ends its connections. If the context has ended already, the listener is closed at once.
+// drain stops the listener and ends its connections.
 func (l listener) drain(ctx context.Context, log *slog.Logger) {
-	if ctx.Err() != nil {
-		l.close(log)
-	}
-	l.logCloseError(l.frontend.StopServing(l.net), log)
+	l.logCloseError(l.frontend.StopServing(ctx, l.net), log)
 	l.frontend.Drain(ctx)
 }
 
--- a/gateway/tls.go
+++ b/gateway/tls.go
@@ -179,8 +179,11 @@
 	}
 }
 
-// StopServing closes the listener once the connections that have reached it are accepted. Serve returns.
-func (t *tlsListener) StopServing(l net.Listener) error { return t.limiter.StopServing(l) }
+// StopServing closes the listener once the connections that have reached it are accepted, or when the context ends. Serve
+// returns.
+func (t *tlsListener) StopServing(ctx context.Context, l net.Listener) error {
+	return t.limiter.StopServing(ctx, l)
+}
 
 // Drain ends the connections of both protocols.
 func (t *tlsListener) Drain(ctx context.Context) { t.limiter.Drain(ctx) }
--- a/internal/pauseclock/network.go
+++ b/internal/pauseclock/network.go
@@ -74,6 +74,16 @@
 	return ok && w.socket.readable()
 }
 
+// BacklogLength returns how many connections wait to be accepted from a watched listener. The second result is false if
+// that can't be determined.
+func BacklogLength(l net.Listener) (length int, isKnown bool) {
+	w, ok := l.(*watchedListener)
+	if !ok {
+		return 0, false
+	}
+	return backlogLength(w.Listener)
+}
+
 // Accept accepts a connection, which arrived no earlier than the listener was last found empty.
 func (l *watchedListener) Accept() (net.Conn, error) {
 	l.socket.beforeRead()
--- a/internal/pauseclock/tcp_linux.go
+++ b/internal/pauseclock/tcp_linux.go
@@ -73,6 +73,25 @@
 	return err == nil && n > 0
 }
 
+// backlogLength returns the length of a listener's queue of connections, which the kernel reports in TCP_INFO.
+func backlogLength(l net.Listener) (length int, isKnown bool) {
+	tcpListener, ok := l.(*net.TCPListener)
+	if !ok {
+		return 0, false
+	}
+	raw, err := tcpListener.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if isKnown = err == nil; isKnown {
+			length = int(info.Unacked) // of a listener: those that wait to be accepted
+		}
+	})
+	return length, isKnown && err == nil
+}
+
 // newConnReader returns a reader that enables the kernel's timestamps of TCP segments
 // (SO_TIMESTAMPNS, socket(7)). The timestamp of a read is that of the last segment of which it
 // returned bytes.
--- a/internal/pauseclock/tcp_linux_test.go
+++ b/internal/pauseclock/tcp_linux_test.go
@@ -141,3 +141,25 @@
 		t.Error("a pipe that holds a byte is not reported as readable")
 	}
 }
+
+// The length of a listener's backlog is that of the connections that wait.
+func TestBacklogLength(t *testing.T) {
+	const dialed = 3
+	clock := New(time.Now(), network.OS{}, pause.DefaultSettings())
+	defer clock.Close()
+	listener, err := clock.WatchNetwork(network.OS{}).Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	for waiting := range dialed + 1 {
+		if n, isKnown := BacklogLength(listener); n != waiting || !isKnown || HasBacklog(listener) != (waiting > 0) {
+			t.Errorf("%d connections wait, known %v, any %v; want %d", n, isKnown, HasBacklog(listener), waiting)
+		}
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+}
--- a/internal/pauseclock/tcp_other.go
+++ b/internal/pauseclock/tcp_other.go
@@ -12,3 +12,6 @@
 
 // newConnReader returns a reader without timestamps.
 func newConnReader(nc net.Conn, readable func() bool) connReader { return &plainReader{nc, readable} }
+
+// backlogLength returns no length: it can't be determined on this system.
+func backlogLength(net.Listener) (int, bool) { return 0, false }
