cmd/yardcleat: soak checks every request, with bad clients, stops and short deadlines

The soak compared only requests that servers had received, so that one which a node read and dropped was not seen.

Now each request whose last byte was written is checked. One without a response is a violation unless it followed another on its connection and crossed its end: the connection must end within the 0.15 s for which a node may be held up, the longest stop and the test's own lag. A new connection counts up to 0.4 s after SIGTERM on an edge node, to SIGTERM on serve; a request later than 0.7 s after SIGTERM only if the process was not killed. A client whose write fails reads on, as the node may have rejected its request before its end.

--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -102,12 +103,14 @@
 	stop := make(chan struct{})
 	go func() { peaks <- watchUse(node, stop) }()
 	until := time.Now().Add(*placesTime)
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
 	var bad sync.WaitGroup
 	number := 0
 	for _, group := range c.bad {
 		for range group.clients {
 			number++
-			bad.Go(func() { playReturningClient(node, group.text(number), until) })
+			bad.Go(func() { playReturningClient(ctx, node, group.text(number)) })
 		}
 	}
 	bad.Go(func() { c.stopProcess(node, until) })
@@ -127,17 +130,18 @@
 	}
 }
 
-// playReturningClient plays one bad client until a time.
-func playReturningClient(node *nodeProcess, text string, until time.Time) {
-	for time.Now().Before(until) {
-		conn, err := net.DialTimeout("tcp", node.address, time.Until(until))
+// playReturningClient plays one bad client until the context ends.
+func playReturningClient(ctx context.Context, node *nodeProcess, text string) {
+	for ctx.Err() == nil {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", node.address)
 		if err != nil {
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		_ = conn.SetDeadline(until)
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		_, _ = io.WriteString(conn, text) // the node may reject it before it has read all
 		_, _ = io.Copy(io.Discard, conn)  // until the node ends the connection
+		stop()
 		_ = conn.Close()
 	}
 }
--- a/cmd/yardcleat/day_test.go
+++ b/cmd/yardcleat/day_test.go
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = taken.Close() }()
-	config := strings.Replace(serveConfig(address, &serverGroup{servers: []*fakeServer{{address: "127.0.0.1:1"}}}), `level = "info"`, `format = "json"`, 1)
+	config := strings.Replace(serveConfig(address, &serverGroup{servers: []*fakeServer{{address: "127.0.0.1:1"}}}, longestDeadline), `level = "info"`, `format = "json"`, 1)
 	_, err = environment.StartNode(3, []byte(config))
 	var startError *day.StartError
 	if !errors.As(err, &startError) || startError.Node != 3 {
--- a/cmd/yardcleat/process_testbed_test.go
+++ b/cmd/yardcleat/process_testbed_test.go
@@ -34,7 +34,7 @@
 	os.Exit(m.Run())
 }
 
-// longestDeadline is the deadline of all classes in the configurations below.
+// longestDeadline is the deadline of all classes, unless a test sets another.
 const longestDeadline = 3 * time.Second
 
 // Names of the classes, by their idempotency.
@@ -81,13 +81,13 @@
 	if edge {
 		return startEdgeNode(t, usualResources, servers, discovery)
 	}
-	return startProcess(t, edge, serveConfig(processtest.AnyPort, servers), servers)
+	return startProcess(t, edge, serveConfig(processtest.AnyPort, servers, longestDeadline), servers)
 }
 
 // startEdgeNode starts an edge node with the given resources and waits until it is ready.
 func startEdgeNode(t *testing.T, r resources, servers *serverGroup, discovery string) *nodeProcess {
 	t.Helper()
-	return startProcess(t, true, edgeConfig(processtest.AnyPort, discovery, r), servers)
+	return startProcess(t, true, edgeConfig(processtest.AnyPort, discovery, r, longestDeadline), servers)
 }
 
 // startProcess starts a node with the given configuration and waits until it is ready.
@@ -166,15 +166,15 @@
 	}
 }
 
-func serveConfig(address string, servers *serverGroup) string {
+func serveConfig(address string, servers *serverGroup, deadline time.Duration) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, `
 node { number = 0 }
-listener "http" "clients" { address = %q }
+listener "http" "clients" { address = %[1]q }
 class "lookup" {
   effect = "safe"
-  aim = "800ms"
-  deadline = "3s"
+  aim = %[3]q
+  deadline = %[2]q
   route {
     method = "GET"
     path = "/records/{id}"
@@ -183,8 +183,8 @@
 class "loan-change" {
   effect = "keyed"
   window = "2s"
-  aim = "600ms"
-  deadline = "3s"
+  aim = %[3]q
+  deadline = %[2]q
   route {
     method = "POST"
     path = "/loans/{id}"
@@ -192,8 +192,8 @@
 }
 class "order" {
   effect = "unsafe"
-  aim = "600ms"
-  deadline = "3s"
+  aim = %[3]q
+  deadline = %[2]q
   route {
     method = "POST"
     path = "/orders/{id}"
@@ -210,16 +210,17 @@
 limits { connections = 300 }
 log { level = "info" }
 servers {
-`, address)
+`, address, deadline.String(), min(600*time.Millisecond, deadline/2).String())
 	for i, s := range servers.servers {
 		fmt.Fprintf(&b, "  server \"s-%d\" { address = %q }\n", i, s.address)
 	}
 	return b.String() + "}\n"
 }
 
-func edgeConfig(address, discovery string, r resources) string {
+func edgeConfig(address, discovery string, r resources, deadline time.Duration) string {
 	class := func(name, semantics string) string {
-		return fmt.Sprintf(`{"name":%q,"semantics":%q,"group":"all","aim_ms":800,"hard_limit_ms":3000,"window_ms":2000,"stream":false}`, name, semantics)
+		return fmt.Sprintf(`{"name":%q,"semantics":%q,"group":"all","aim_ms":%d,"hard_limit_ms":%d,"window_ms":2000,"stream":false}`,
+			name, semantics, min(800, deadline.Milliseconds()/2), deadline.Milliseconds())
 	}
 	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
  "limits":{"cores":1,"memory_mb":%d,"sockets":%d},"peer_listen":"","peers":[],"peers_all":"",
--- a/cmd/yardcleat/soak_clients_test.go
+++ b/cmd/yardcleat/soak_clients_test.go
@@ -14,10 +14,14 @@
 // clientConn is a connection of a client.
 type clientConn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader      *bufio.Reader
+	connectedAt time.Time
+	wasUsed     bool // a response was received on it
 }
 
-func newClientConn(nc net.Conn) *clientConn { return &clientConn{nc, bufio.NewReader(nc)} }
+func newClientConn(nc net.Conn) *clientConn {
+	return &clientConn{Conn: nc, reader: bufio.NewReader(nc), connectedAt: time.Now()}
+}
 
 // clientResponse is a response that a client has received.
 type clientResponse struct {
@@ -36,20 +40,24 @@
 		return received, err
 	}
 	body, err := io.ReadAll(response.Body)
+	c.wasUsed = true
 	return clientResponse{response.StatusCode, string(body), response.Close}, err
 }
 
 // sentRequest is a request and its outcome, as its client observed them.
 type sentRequest struct {
 	class          string
-	sentAt         time.Time
+	sentAt         time.Time // when its last byte was written; zero: the connection ended before that
+	connectedAt    time.Time // when its connection was made
+	isFollowing    bool      // another request was answered on its connection before
 	disconnectedAt time.Time // zero: the client did not close its connection before the response
 	respondedAt    time.Time // zero: there was no response
 	err            error     // that ended the wait for the response
+	endedAt        time.Time // when it did
 	isMismatched   bool      // the response was for another request
 }
 
-// clientTimeout is how long clients wait for a response. Their requests carry it.
+// clientTimeout is how long clients wait for a response, if the node's deadlines are no shorter. Their requests carry it.
 const clientTimeout = 3 * time.Second
 
 // lateResponseGrace is how long clients continue to read after their timeout, to distinguish a late response from none.
@@ -59,6 +67,7 @@
 type clientPopulation struct {
 	node            *nodeProcess
 	seed            uint64
+	timeout         time.Duration // for which clients wait for a response
 	stopped         chan struct{}
 	clients         sync.WaitGroup
 	idleConnections sync.WaitGroup // of openIdleConnections
@@ -67,8 +76,8 @@
 	requests        map[string]*sentRequest // by id
 }
 
-func newClientPopulation(node *nodeProcess, seed uint64) *clientPopulation {
-	return &clientPopulation{node: node, seed: seed, lastNumber: readinessNumber, stopped: make(chan struct{}), requests: map[string]*sentRequest{}}
+func newClientPopulation(node *nodeProcess, seed uint64, timeout time.Duration) *clientPopulation {
+	return &clientPopulation{node: node, seed: seed, timeout: timeout, lastNumber: readinessNumber, stopped: make(chan struct{}), requests: map[string]*sentRequest{}}
 }
 
 // stop ends all clients, after each has received its current response or its connection has ended.
@@ -140,10 +149,9 @@
 func (c *client) exchange() {
 	class := []string{classIdempotent, classIdempotentWithKey, classNonIdempotent}[c.random.IntN(3)]
 	request, id := c.newRequest(class)
-	if err := c.write(requestText(c.node.edge, class, id, clientTimeout)); err != nil {
-		c.finish(request, clientResponse{}, err, id)
-		c.closeConnection()
-		return
+	writeErr := c.write(requestText(c.node.edge, class, id, c.timeout)) // the node may have rejected it before its end
+	if writeErr == nil {
+		c.recordSent(request)
 	}
 	if c.disconnectsEarly && c.random.IntN(3) == 0 {
 		time.Sleep(time.Duration(c.random.IntN(80)) * time.Millisecond)
@@ -153,9 +161,9 @@
 		c.mu.Unlock()
 		return
 	}
-	response, err := c.conn.read(time.Now().Add(clientTimeout + lateResponseGrace))
+	response, err := c.conn.read(time.Now().Add(c.timeout + lateResponseGrace))
 	c.finish(request, response, err, id)
-	if err != nil || response.closesConnection && !c.ignoresConnectionClose {
+	if writeErr != nil || err != nil || response.closesConnection && !c.ignoresConnectionClose {
 		c.closeConnection()
 	}
 }
@@ -165,17 +173,27 @@
 	defer p.mu.Unlock()
 	p.lastNumber++
 	id = p.node.requestID(p.lastNumber)
-	request = &sentRequest{class: class, sentAt: time.Now()}
+	request = &sentRequest{class: class}
 	p.requests[id] = request
 	return request, id
 }
 
+// recordSent records that a request was written to the client's connection.
+func (c *client) recordSent(request *sentRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	request.sentAt = time.Now()
+	request.connectedAt = c.conn.connectedAt
+	request.isFollowing = c.conn.wasUsed
+}
+
 // finish records the outcome of a request.
 func (p *clientPopulation) finish(request *sentRequest, response clientResponse, err error, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
 		request.err = err
+		request.endedAt = time.Now()
 		return
 	}
 	request.respondedAt = time.Now()
--- a/cmd/yardcleat/soak_test.go
+++ b/cmd/yardcleat/soak_test.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"yardcleat.example/yardcleat/internal/processtest"
 )
 
 var (
@@ -43,6 +48,9 @@
 	draining         int // servers that start to drain just before SIGTERM; edge nodes only
 	longResponses    bool
 	signals          []timedSignal
+	deadline         time.Duration   // of all classes
+	bad              []badGroup      // clients that come again whenever their connection has ended
+	stops            []time.Duration // for which the process is stopped again and again until SIGTERM
 }
 
 // timedSignal is a signal that is sent at a time after the first SIGTERM.
@@ -80,9 +88,32 @@
 		}
 		s.signals = append(s.signals, timedSignal{at, next})
 	}
+	s.drawTrouble(rand.New(rand.NewPCG(seed, 9)))
 	return s
 }
 
+// badTexts is what bad clients send, each of them one of these.
+var badTexts = []func(number int) string{unsoundRequest, halfHeader, halfBody, manyFields, manyRequests, nothing}
+
+// drawTrouble generates what else happens: short deadlines, stops of the process, and in every second shutdown bad
+// clients, now and then more than there are places for connections.
+func (s *shutdown) drawTrouble(random *rand.Rand) {
+	s.deadline = longestDeadline
+	if random.IntN(2) == 0 {
+		s.deadline = time.Duration(400+random.IntN(1600)) * time.Millisecond
+	}
+	if random.IntN(2) == 0 {
+		for range 4 + random.IntN(6) {
+			s.stops = append(s.stops, time.Duration(10+random.IntN(140))*time.Millisecond)
+		}
+	}
+	if random.IntN(2) == 0 {
+		for range 1 + random.IntN(2) {
+			s.bad = append(s.bad, badGroup{1 + random.IntN(120), badTexts[random.IntN(len(badTexts))]})
+		}
+	}
+}
+
 // A node that is shut down while clients keep using it must respond to every request that a server has received, once
 // and in time, until the earliest SIGKILL. Requests could be lost if a repeated signal, a hanging or draining server,
 // or a burst of clients crosses the shutdown.
@@ -118,15 +149,17 @@
 			server.paddingBytes = random.IntN(300_000)
 		}
 	}
-	node := startNode(t, s.edge, servers, serveHTTP(t, servers))
+	node := s.startNode(t, servers)
 	lag := startLagMeter()
-	clients := newClientPopulation(node, s.seed)
+	clients := newClientPopulation(node, s.seed, s.deadline)
 	s.startClients(clients)
-	time.Sleep(time.Duration(600+random.IntN(400)) * time.Millisecond)
+	stopBadClients := s.startBadClients(node)
+	s.stopProcess(node, time.Now().Add(time.Duration(600+random.IntN(400))*time.Millisecond))
 	s.injectFaults(servers, clients)
 	terminatedAt := s.sendSignals(node)
-	killed := killAt(node, terminatedAt.Add(longestDeadline+killGrace))
+	killed := killAt(node, terminatedAt.Add(s.deadline+killGrace))
 	clients.stop()
+	stopBadClients()
 	report := shutdownReport{shutdown: s, terminatedAt: terminatedAt, killed: killed, lag: lag.stop()}
 	report.check(servers, clients)
 	t.Log(report.summary())
@@ -141,6 +174,46 @@
 	}
 }
 
+func (s shutdown) startNode(t *testing.T, servers *serverGroup) *nodeProcess {
+	t.Helper()
+	config := serveConfig(processtest.AnyPort, servers, s.deadline)
+	if s.edge {
+		config = edgeConfig(processtest.AnyPort, serveHTTP(t, servers), usualResources, s.deadline)
+	}
+	return startProcess(t, s.edge, config, servers)
+}
+
+// startBadClients starts the bad clients, and returns a function that ends them.
+func (s shutdown) startBadClients(node *nodeProcess) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	number := 0
+	for _, group := range s.bad {
+		for range group.clients {
+			number++
+			clients.Go(func() { playReturningClient(ctx, node, group.text(number)) })
+		}
+	}
+	return func() {
+		cancel()
+		clients.Wait()
+	}
+}
+
+// stopProcess stops the process again and again, and returns at a time.
+func (s shutdown) stopProcess(node *nodeProcess, until time.Time) {
+	for _, stop := range s.stops {
+		if time.Until(until) < 2*stop {
+			break
+		}
+		time.Sleep(stop)
+		node.signal(syscall.SIGSTOP)
+		time.Sleep(stop)
+		node.signal(syscall.SIGCONT)
+	}
+	time.Sleep(time.Until(until))
+}
+
 func (s shutdown) startClients(clients *clientPopulation) {
 	for i := range s.clients {
 		clients.start(i, func(c *client) {
@@ -231,14 +304,16 @@
 	received          int // requests that servers received
 	late              int // received requests, later than guaranteedTime after SIGTERM
 	interruptedByKill int // late requests that SIGKILL cut off
+	crossed           int // requests that crossed the end of a connection between two requests
 	violations        []string
 }
 
 func (r *shutdownReport) summary() string {
-	return fmt.Sprintf("%s, seed %d: %d clients, %d early disconnects, %d slow writers, %d idle, %d in a burst, %d hanging, %d draining, %d signals; "+
-		"%d requests received, %d later than %v after SIGTERM, %d of them cut off by SIGKILL; killed %v, lag %v, pid %d",
+	return fmt.Sprintf("%s, seed %d: %d clients, %d early disconnects, %d slow writers, %d idle, %d in a burst, %d hanging, %d draining, %d signals, deadline %v, %d bad groups, %d stops; "+
+		"%d requests received, %d later than %v after SIGTERM, %d of them cut off by SIGKILL, %d others crossed an end; killed %v, lag %v, pid %d",
 		r.program(), r.seed, r.clients, r.earlyDisconnects, r.slowWriters, r.idleConnections, r.burst, r.hanging, r.draining, len(r.signals),
-		r.received, r.late, guaranteedTime, r.interruptedByKill, r.killed, r.lag.Round(time.Millisecond), os.Getpid())
+		r.deadline, len(r.bad), len(r.stops),
+		r.received, r.late, guaranteedTime, r.interruptedByKill, r.crossed, r.killed, r.lag.Round(time.Millisecond), os.Getpid())
 }
 
 // check compares the requests that servers received with the responses that clients received.
@@ -247,7 +322,15 @@
 	defer servers.mu.Unlock()
 	clients.mu.Lock()
 	defer clients.mu.Unlock()
+	for id, sent := range clients.requests {
+		if servers.requests[id] == nil {
+			r.checkUnsent(id, sent)
+		}
+	}
 	for id, received := range servers.requests {
+		if strings.HasPrefix(id, badIDPrefix) {
+			continue
+		}
 		sent := clients.requests[id]
 		switch {
 		case sent != nil:
@@ -262,6 +345,45 @@
 	}
 }
 
+// newConnectionTime is the time after SIGTERM within which clients make new connections.
+const newConnectionTime = 400 * time.Millisecond
+
+// checkUnsent adds the violation of a request that no server has received. It is owed a response once its last byte is
+// written, unless it crossed the end of a connection between two requests, which the node may have ended just then.
+func (r *shutdownReport) checkUnsent(id string, sent *sentRequest) {
+	switch {
+	case !sent.respondedAt.IsZero() || !sent.disconnectedAt.IsZero() || sent.sentAt.IsZero():
+		return
+	case sent.isFollowing && sent.endedAt.Sub(sent.sentAt) <= r.crossingTime():
+		r.crossed++
+		return
+	case r.killed && sent.sentAt.Sub(r.terminatedAt) > guaranteedTime, sent.connectedAt.Sub(r.terminatedAt) > r.acceptTime():
+		return
+	}
+	r.violations = append(r.violations, fmt.Sprintf("%s %s, sent %v after SIGTERM and %v after its connection was made: no response, %v after %v", sent.class, id,
+		sent.sentAt.Sub(r.terminatedAt).Round(time.Millisecond), sent.sentAt.Sub(sent.connectedAt).Round(time.Millisecond), sent.err, sent.endedAt.Sub(sent.sentAt)))
+}
+
+// acceptTime returns the time after SIGTERM within which new connections are accepted.
+func (r *shutdownReport) acceptTime() time.Duration {
+	if r.edge {
+		return newConnectionTime
+	}
+	return 0
+}
+
+// holdUpTime is how long a node may be held up between two steps.
+const holdUpTime = 150 * time.Millisecond
+
+// crossingTime returns how long after a request was written its connection may end without the node having read it.
+func (r *shutdownReport) crossingTime() time.Duration {
+	longestStop := time.Duration(0)
+	for _, stop := range r.stops {
+		longestStop = max(longestStop, stop)
+	}
+	return holdUpTime + longestStop + r.lag
+}
+
 // checkRequest adds the violations of one request that servers received.
 func (r *shutdownReport) checkRequest(id string, received *receivedRequest, sent *sentRequest) {
 	first, last := received.receivedAt[0], received.receivedAt[len(received.receivedAt)-1]
@@ -286,7 +408,7 @@
 	case sent.isMismatched:
 		violate("its response was for another request")
 	case !sent.respondedAt.IsZero():
-		if elapsed := sent.respondedAt.Sub(sent.sentAt); elapsed > clientTimeout+responseSlack+r.lag {
+		if elapsed := sent.respondedAt.Sub(sent.sentAt); elapsed > r.deadline+responseSlack+r.lag {
 			violate("response after %v", elapsed)
 		}
 	case isLate && r.killed:
