edgenode: a request whose id comes again after its client has left does not run twice

Cause: an id was refused only while its request was open. The attempt of a client that has left runs to its end, and then the id was free: the same request, sent once more, ran again, possibly at a server that does not know the first.

Change: the id of a keyed or unsafe request that may have run is refused by 400 for 30 s after its end, 4,096 ids at most. Whether it may have run follows from the results of its attempts, as for retries; one that was never sent may come again, as the protocol allows after a connection that ended with the request unread.

Not for `serve`: its request ids come from clients that may choose equal ones.

--- a/edgenode/edge.go
+++ b/edgenode/edge.go
@@ -54,7 +54,7 @@
 	draining     atomic.Bool // the shutdown has started
 
 	classes []policy.Class
-	open    openRequests
+	open    *openRequests
 
 	endpointsMutex sync.Mutex
 	endpoints      *discovery.EndpointTable // guarded by endpointsMutex
@@ -82,7 +82,7 @@
 		network:   clock.WatchNetwork(n),
 		logger:    logger,
 		classes:   cfg.Policy.Classes,
-		open:      openRequests{ids: map[string]bool{}},
+		open:      newOpenRequests(cfg.Policy.Classes),
 		endpoints: discovery.NewEndpointTable(),
 	}
 	e.listHistory = discovery.NewListHistory()
@@ -212,12 +212,12 @@
 // ready reports whether the node has an endpoint list and is not shutting down.
 func (e *Edge) ready() bool { return e.hasEndpoints.Load() && !e.draining.Load() }
 
-// Submit passes a request to the node. A request with the ID of one that is still open fails
-// at once. reply is called exactly once. The caller must call disconnected when the client has
+// Submit passes a request to the node. A request with the ID of one that is still open, or that may have had its effect,
+// fails at once. reply is called exactly once. The caller must call disconnected when the client has
 // disconnected.
 func (e *Edge) Submit(r *node.Request, reply func(node.FinalResponse)) (disconnected func()) {
 	if !e.open.add(r.Trace) {
-		reply(node.FinalResponse{Kind: node.Failed, Reason: node.ReasonBadRequest, Detail: "a request with this id is open"})
+		reply(node.FinalResponse{Kind: node.Failed, Reason: node.ReasonBadRequest, Detail: "a request with this id is open or has run"})
 		return func() {}
 	}
 	return e.node.Submit(r, reply)
--- a/edgenode/open_requests.go
+++ b/edgenode/open_requests.go
@@ -2,37 +2,45 @@
 
 import (
 	"sync"
+	"time"
 
 	"yardcleat.example/yardcleat/node"
+	"yardcleat.example/yardcleat/policy"
 )
 
-// openRequests is the set of the IDs of requests in progress. Its methods may be called from
-// any goroutine.
+// openRequests keeps the IDs of requests, so that none runs twice. Its methods may be called from any goroutine.
 type openRequests struct {
+	hasEffect map[string]bool // whether requests of a class have an effect, by its name
+
 	mu  sync.Mutex
-	ids map[string]bool
+	ids requestIDs
 }
 
-// add adds an ID to the set. It returns false if the ID is in the set already.
+func newOpenRequests(classes []policy.Class) *openRequests {
+	o := &openRequests{hasEffect: map[string]bool{}, ids: newRequestIDs()}
+	for _, class := range classes {
+		o.hasEffect[class.Name] = class.Idempotency != policy.Idempotent
+	}
+	return o
+}
+
+// add adds the ID of a request. It returns false if a request with the ID must not run.
 func (o *openRequests) add(id string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.ids[id] {
-		return false
-	}
-	o.ids[id] = true
-	return true
+	return o.ids.begin(id, time.Now())
 }
 
-// remove removes the ID of a finished request from the set.
-func (o *openRequests) remove(r *node.Request) {
+// remove records that a request has ended.
+func (o *openRequests) remove(r *node.Request, mayHaveRun bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.ids, r.Trace)
+	o.ids.end(r.Trace, mayHaveRun && o.hasEffect[r.Class], time.Now())
 }
 
+// count returns the number of requests in progress.
 func (o *openRequests) count() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.ids)
+	return len(o.ids.inProgress)
 }
--- a/edgenode/requests_test.go
+++ b/edgenode/requests_test.go
@@ -210,3 +210,50 @@
 		}
 	})
 }
+
+// Guards against a request that runs twice because its id comes again after its client has left: the first attempt may have
+// run, though nobody was told its result.
+func TestRequestThatComesAgainAfterItsClientLeftRunsOnce(t *testing.T) {
+	for _, after := range []time.Duration{0, 200 * time.Millisecond, 2 * time.Second, 20 * time.Second} {
+		simulate(t, func(s *testbed) {
+			text := s.requestText("loan-change", "again")
+			leaving := s.dial()
+			mustWrite(t, leaving, text)
+			time.Sleep(10 * time.Millisecond)
+			mustClose(t, leaving)
+			time.Sleep(after)
+			status, _, _ := s.exchange(text)
+			time.Sleep(time.Second)
+			if n := len(s.receivedRequests()); n != 1 || status != 400 {
+				t.Errorf("again after %v: status %d, servers got it %d times", after, status, n)
+			}
+		})
+	}
+}
+
+// A request that was never sent to a server may come again, as may one without an effect.
+func TestRequestThatHadNoEffectMayComeAgain(t *testing.T) {
+	ids := newRequestIDs()
+	start := time.Now()
+	for _, hadEffect := range []bool{false, false, true} {
+		if !ids.begin("a", start) {
+			t.Fatal("refused before it had an effect")
+		}
+		if ids.begin("a", start) {
+			t.Fatal("not refused while it is in progress")
+		}
+		ids.end("a", hadEffect, start)
+	}
+	if ids.begin("a", start.Add(idRetention-1)) {
+		t.Error("not refused after it had an effect")
+	}
+	if !ids.begin("a", start.Add(idRetention)) {
+		t.Error("refused after the time for that")
+	}
+	for i := range 3 * maxRetainedIDs {
+		ids.end(fmt.Sprint(i), true, start)
+	}
+	if len(ids.retained) != maxRetainedIDs || len(ids.queue) != maxRetainedIDs {
+		t.Errorf("%d IDs are retained, want %d", len(ids.retained), maxRetainedIDs)
+	}
+}
--- a/edgenode/testbed_test.go
+++ b/edgenode/testbed_test.go
@@ -122,7 +122,7 @@
 			}
 		}
 		if s.edge.open.count() > 0 {
-			t.Errorf("requests are still open: %v", s.edge.open.ids)
+			t.Errorf("requests are still open: %v", s.edge.open.ids.inProgress)
 		}
 		s.closeListeners()
 		time.Sleep(time.Minute)
--- a/internal/archtest/no_io_test.go
+++ b/internal/archtest/no_io_test.go
@@ -16,7 +16,7 @@
 
 // filesWithoutIO lists the files that make decisions, as patterns relative to the module's root.
 var filesWithoutIO = []string{"policy/*.go", "policy/connections/*.go", "authz/*.go", "audit/*.go", "intake/*.go", "internal/timers/*.go", "usage/*.go", "lab/*.go", "lab/hunt/*.go", "peer/packet.go",
-	"pause/*.go", "membership/*.go", "upstream/attempt_outcome.go", "upstream/idle_timeout.go", "edgenode/protocol/*.go", "edgenode/discovery/list.go", "edgenode/discovery/endpoint_table.go", "edgenode/shutdown.go", "edgenode/resource_limits.go", "edgenode/discovery/timeouts.go", "front/extauthz/attempt_outcome.go"}
+	"pause/*.go", "membership/*.go", "upstream/attempt_outcome.go", "upstream/idle_timeout.go", "edgenode/protocol/*.go", "edgenode/discovery/list.go", "edgenode/discovery/endpoint_table.go", "edgenode/shutdown.go", "edgenode/resource_limits.go", "edgenode/request_ids.go", "edgenode/discovery/timeouts.go", "front/extauthz/attempt_outcome.go"}
 
 // bannedImports lists packages that do I/O, synchronize goroutines or are not deterministic.
 var bannedImports = map[string]bool{"net": true, "net/http": true, "os": true, "os/exec": true, "syscall": true, "io/fs": true,
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -53,7 +53,7 @@
 func (n *Node) rejectSubmission(request *Request, reason Reason, reply func(FinalResponse)) {
 	response := FinalResponse{Kind: Rejected, Reason: reason, RetryAfter: n.options.Settings.MaxRetryAfter}
 	n.logFinalResponse(request, response, responseLogDetails{})
-	n.notifyRequestDone(request)
+	n.notifyRequestDone(request, false)
 	reply(response)
 }
 
@@ -185,11 +185,11 @@
 func (n *Node) release(r *pendingRequest) {
 	r.deadlineTimer.Stop()
 	delete(n.requests, r.id)
-	n.notifyRequestDone(r.request)
+	n.notifyRequestDone(r.request, r.attempts.mayHaveRun || r.attempts.active)
 }
 
-func (n *Node) notifyRequestDone(request *Request) {
+func (n *Node) notifyRequestDone(request *Request, mayHaveRun bool) {
 	if n.options.OnRequestDone != nil {
-		n.options.OnRequestDone(request)
+		n.options.OnRequestDone(request, mayHaveRun)
 	}
 }
--- a/node/options.go
+++ b/node/options.go
@@ -69,9 +69,9 @@
 	Pause pause.Settings
 
 	// OnRequestDone is called when all work for a request has ended: in the loop, or in Submit
-	// if the request is rejected immediately. It must not block. Default: no function is
-	// called.
-	OnRequestDone func(*Request)
+	// if the request is rejected immediately. mayHaveRun is true unless each attempt is known not to have run at its
+	// server. It must not block. Default: no function is called.
+	OnRequestDone func(request *Request, mayHaveRun bool)
 }
 
 // maxSendDelay is the default of Settings.MaxSendDelay: the longest time for which a node of the platform is held
--- a/node/pending_request.go
+++ b/node/pending_request.go
@@ -57,6 +57,7 @@
 	server     policy.ServerID
 	startedAt  time.Duration // since the node's time origin
 	lastResult policy.ResultCode
+	mayHaveRun bool // an attempt has ended of which it is not known that it never ran
 }
 
 // current returns the number of the last attempt.
@@ -116,6 +117,7 @@
 func (r *pendingRequest) endAttempt(result Result) {
 	r.attempts.active = false
 	r.attempts.lastResult = result.Code
+	r.attempts.mayHaveRun = r.attempts.mayHaveRun || !result.Code.NeverRan()
 	if result.Detail != "" {
 		r.detail = result.Detail
 	}
--- a/node/policy_panic_test.go
+++ b/node/policy_panic_test.go
@@ -61,7 +61,7 @@
 		AuthorizationDecider: authz.New(authz.Settings{Addresses: 1, Timeout: time.Second, MaxInFlight: 8,
 			Classes: map[string]authz.Class{"checked": {Mode: authz.FailClosed, LatencyObjective: time.Second}, "read": {Mode: authz.Skip}}}),
 		AuthorizationClient: f.authorizer,
-		OnRequestDone:       func(r *Request) { f.released[r.Trace]++ },
+		OnRequestDone:       func(r *Request, _ bool) { f.released[r.Trace]++ },
 	})
 	if err != nil {
 		t.Fatal(err)
