--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -30,6 +30,16 @@
 type badGroup struct {
 	clients int
 	text    func(number int) string
+	play    func(ctx context.Context, node *nodeProcess, number int) // in place of that; nil: plays text
+}
+
+// playClient plays a client of the group until the context ends.
+func (g badGroup) playClient(ctx context.Context, node *nodeProcess, number int) {
+	if g.play != nil {
+		g.play(ctx, node, number)
+		return
+	}
+	playReturningClient(ctx, node, g.text(number))
 }
 
 // placesCase is a node with its bad clients.
@@ -68,16 +78,66 @@
 	return b.String()
 }
 
+// sends returns a group of clients that send what text returns.
+func sends(clients int, text func(number int) string) badGroup {
+	return badGroup{clients: clients, text: text}
+}
+
+// playNewCustomers sends one small request behind another at full speed, each of a customer that is new.
+func playNewCustomers(ctx context.Context, node *nodeProcess, number int) {
+	const customersOfClient = 1 << 24
+	for request := number * customersOfClient; ctx.Err() == nil; {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", node.address)
+		if err != nil {
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		client := newClientConn(conn)
+		for err == nil {
+			request++
+			text := strings.Replace(badRequest(classIdempotent, request, "", ""), "key=00000000b4d65521", fmt.Sprintf("key=%016x", request), 1)
+			_, _ = io.WriteString(conn, text) // an error shows in the read
+			_, err = client.read(time.Now().Add(freshTimeout + responseSlack))
+		}
+		stop()
+		_ = conn.Close()
+	}
+}
+
+// playSlowWriter writes a long request, a few bytes at a time.
+func playSlowWriter(ctx context.Context, node *nodeProcess, number int) {
+	const pieceBytes, pieceInterval = 100, 5 * time.Millisecond
+	for ctx.Err() == nil {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", node.address)
+		if err != nil {
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		for text := longRequest(number); len(text) > 0 && err == nil; {
+			n := min(pieceBytes, len(text))
+			_, err = io.WriteString(conn, text[:n])
+			text = text[n:]
+			time.Sleep(pieceInterval)
+		}
+		_, _ = io.Copy(io.Discard, conn) // until the node ends the connection
+		stop()
+		_ = conn.Close()
+	}
+}
+
 var placesCases = []placesCase{
-	{name: "unsound requests", sockets: 256, bad: []badGroup{{100, unsoundRequest}}},
-	{name: "unsound requests and half headers", sockets: 256, bad: []badGroup{{60, unsoundRequest}, {60, halfHeader}}},
-	{name: "many requests at once", sockets: 256, bad: []badGroup{{100, manyRequests}}},
-	{name: "silent clients", sockets: 256, bad: []badGroup{{300, nothing}}},
-	{name: "half headers", sockets: 256, bad: []badGroup{{300, halfHeader}}},
-	{name: "half bodies", sockets: 1024, bad: []badGroup{{600, halfBody}}},
-	{name: "headers of thousands of fields", sockets: 1024, bad: []badGroup{{300, manyFields}}},
-	{name: "unsound requests, process stopped", sockets: 256, bad: []badGroup{{60, unsoundRequest}, {100, halfBody}},
+	{name: "unsound requests", sockets: 256, bad: []badGroup{sends(100, unsoundRequest)}},
+	{name: "unsound requests and half headers", sockets: 256, bad: []badGroup{sends(60, unsoundRequest), sends(60, halfHeader)}},
+	{name: "many requests at once", sockets: 256, bad: []badGroup{sends(100, manyRequests)}},
+	{name: "silent clients", sockets: 256, bad: []badGroup{sends(300, nothing)}},
+	{name: "half headers", sockets: 256, bad: []badGroup{sends(300, halfHeader)}},
+	{name: "half bodies", sockets: 1024, bad: []badGroup{sends(600, halfBody)}},
+	{name: "headers of thousands of fields", sockets: 1024, bad: []badGroup{sends(300, manyFields)}},
+	{name: "unsound requests, process stopped", sockets: 256, bad: []badGroup{sends(60, unsoundRequest), sends(100, halfBody)},
 		stopEvery: 400 * time.Millisecond, stopFor: 150 * time.Millisecond},
+	{name: "one client with ever new customers", sockets: 256, bad: []badGroup{{clients: 1, play: playNewCustomers}}},
+	{name: "clients with ever new customers", sockets: 256, bad: []badGroup{{clients: 20, play: playNewCustomers}}},
+	{name: "slow writers", sockets: 1024, bad: []badGroup{{clients: 500, play: playSlowWriter}}},
 }
 
 // Guards against requests on new connections that get no answer because bad clients use up the places for connections.
@@ -110,7 +170,7 @@
 	for _, group := range c.bad {
 		for range group.clients {
 			number++
-			bad.Go(func() { playReturningClient(ctx, node, group.text(number)) })
+			bad.Go(func() { group.playClient(ctx, node, number) })
 		}
 	}
 	bad.Go(func() { c.stopProcess(node, until) })
--- a/cmd/yardcleat/soak_test.go
+++ b/cmd/yardcleat/soak_test.go
@@ -109,7 +109,7 @@
 	}
 	if random.IntN(2) == 0 {
 		for range 1 + random.IntN(2) {
-			s.bad = append(s.bad, badGroup{1 + random.IntN(120), badTexts[random.IntN(len(badTexts))]})
+			s.bad = append(s.bad, sends(1+random.IntN(120), badTexts[random.IntN(len(badTexts))]))
 		}
 	}
 }
@@ -191,7 +191,7 @@
 	for _, group := range s.bad {
 		for range group.clients {
 			number++
-			clients.Go(func() { playReturningClient(ctx, node, group.text(number)) })
+			clients.Go(func() { group.playClient(ctx, node, number) })
 		}
 	}
 	return func() {
