edgenode: GET /metrics tells which connections there are, and how many were ended and why

The two log lines came with policy/connections; their counters are answered now in the Prometheus text format on the address of the clients, as the readiness check is, also while all other requests are rejected.

--- a/edgenode/edge.go
+++ b/edgenode/edge.go
@@ -46,6 +46,7 @@
 	memory   *memory.Budget // for what clients send and are sent
 	pool     *upstream.Pool
 	front    *fronthttp.Server
+	limiter  *connlimit.Limiter // of the connections of clients
 	listener net.Listener
 	serving  sync.WaitGroup // the goroutine that accepts connections
 	closers  background.Closers
@@ -187,9 +188,10 @@
 	if e.listener, err = e.network.Listen(cfg.Listen); err != nil {
 		return err
 	}
+	e.limiter = connlimit.New(limits.connections, e.logger)
 	e.front = fronthttp.New(fronthttp.Options{
 		Node:                e,
-		Mapper:              protocol.New(cfg.Policy, e.ready),
+		Mapper:              protocol.New(cfg.Policy, e.ready, e.metricsText),
 		Log:                 e.logger,
 		Limits:              messageLimits(maxRequestBody),
 		FirstRequestTimeout: firstRequestTimeout,
@@ -197,7 +199,7 @@
 		BodyTimeout:         requestTimeout,
 		IdleTimeout:         idleTimeout,
 		WriteTimeout:        writeTimeout,
-		Connections:         connlimit.New(limits.connections, e.logger),
+		Connections:         e.limiter,
 		Memory:              e.memory,
 		FreeBytesOfRequest:  limits.freeBytesOfRequest,
 	})
--- a/edgenode/protocol/headers.go
+++ b/edgenode/protocol/headers.go
@@ -17,6 +17,7 @@
 
 	HeaderRejection = "X-Unprocessed" // in a server's response: the request was not processed
 	ReadinessPath   = "/up"
+	MetricsPath     = "/metrics" // not the platform's: for operators
 
 	quotaUnits  = "units"
 	quotaSpread = "spread"
--- a/edgenode/protocol/mapper_test.go
+++ b/edgenode/protocol/mapper_test.go
@@ -16,6 +16,8 @@
 		{Name: "loan-change", Idempotency: policy.IdempotentWithKey, Deadline: 2 * time.Second}},
 	Plans: []policy.Plan{{Name: "basic"}}}
 
+func noMetrics() []byte { return nil }
+
 func alwaysReady() bool { return true }
 
 // validRequest returns a valid request of an idempotent class, or of one that is idempotent with a
@@ -34,7 +36,7 @@
 
 func TestAdmitMapsValidRequests(t *testing.T) {
 	for _, withKey := range []bool{false, true} {
-		r, final := New(testSettings, alwaysReady).Admit(validRequest(withKey), "")
+		r, final := New(testSettings, alwaysReady, noMetrics).Admit(validRequest(withKey), "")
 		if final != nil {
 			t.Fatalf("rejected: %+v", final)
 		}
@@ -55,7 +57,7 @@
 	c := validRequest(false)
 	c.Header.Set("X-Repeat", "1")
 	c.Header.Set("X-Time-Left-Ms", "99999999")
-	if r, final := New(testSettings, alwaysReady).Admit(c, ""); final != nil || !r.ClientRetry || r.ClientTimeout != 3*time.Second {
+	if r, final := New(testSettings, alwaysReady, noMetrics).Admit(c, ""); final != nil || !r.ClientRetry || r.ClientTimeout != 3*time.Second {
 		t.Errorf("%+v, %+v", r, final)
 	}
 }
@@ -87,7 +89,7 @@
 			if v != "" {
 				request.Header.Add(c.field, v)
 			}
-			mapper := New(testSettings, alwaysReady)
+			mapper := New(testSettings, alwaysReady, noMetrics)
 			r, final := mapper.Admit(request, "")
 			if final == nil {
 				t.Errorf("%s %q was accepted: %+v", c.name, v, r)
@@ -105,14 +107,14 @@
 	} {
 		request := validRequest(false)
 		change(&request)
-		if _, final := New(testSettings, alwaysReady).Admit(request, ""); final == nil {
+		if _, final := New(testSettings, alwaysReady, noMetrics).Admit(request, ""); final == nil {
 			t.Errorf("%s was accepted", name)
 		}
 	}
 }
 
 func TestBadRequestDetail(t *testing.T) {
-	m := New(testSettings, alwaysReady)
+	m := New(testSettings, alwaysReady, noMetrics)
 	badPlan := func() node.HTTPRequest {
 		request := validRequest(false)
 		request.Header.Set("X-Plan", "gold")
@@ -132,7 +134,7 @@
 
 func TestReadiness(t *testing.T) {
 	ready := false
-	mapper := New(testSettings, func() bool { return ready })
+	mapper := New(testSettings, func() bool { return ready }, noMetrics)
 	for _, want := range []int{503, 200} {
 		r, final := mapper.Admit(node.HTTPRequest{Method: "GET", Target: "/up"}, "")
 		if final == nil || mapper.Render(r, *final).Status != want {
@@ -143,7 +145,7 @@
 }
 
 func TestRenderStatusAndRetryAfter(t *testing.T) {
-	mapper := New(testSettings, alwaysReady)
+	mapper := New(testSettings, alwaysReady, noMetrics)
 	for _, c := range []struct {
 		final  node.FinalResponse
 		status int
@@ -171,7 +173,7 @@
 		for i, v := range []string{id, class, plan, quota, retry, timeout, key, cookies} {
 			c.Header.Add(singleHeaders[i], v)
 		}
-		r, final := New(testSettings, alwaysReady).Admit(c, "")
+		r, final := New(testSettings, alwaysReady, noMetrics).Admit(c, "")
 		if final != nil {
 			return
 		}
--- a/policy/connections/state.go
+++ b/policy/connections/state.go
@@ -27,6 +27,9 @@
 
 func (s State) String() string { return stateNames[s] }
 
+// States returns the states of open connections.
+func States() []State { return []State{New, Reading, InFlight, Idle, Lingering} }
+
 // Action is what is to be done with a connection.
 type Action int
 
@@ -45,6 +48,9 @@
 
 func (a Action) String() string { return actionNames[a] }
 
+// EndingActions returns the actions that end a connection at once.
+func EndingActions() []Action { return []Action{End, Reject, Cut, Close} }
+
 // Reason is why a connection is ended.
 type Reason int
 
