front/http1: a request whose bytes have all come is not ended by a time limit

What callers would see: after a stop of the process longer than a time limit, or while it gets little time of its core, a request that had arrived in full was answered by 408 in the middle of its header or body. The fix for the wait between requests (before) covered only its first bytes.

Cause: a read whose time is over returns without a look at the socket.

Change: the reader looks itself, for all reads of a request: if something has arrived it goes on for 0.1 s, unless the connection is to end. A client that sends a byte now and then gains 0.1 s each time that one lies unread in that very moment.

--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -69,6 +69,40 @@
 	})
 }
 
+// requestReader reads what a client sends. A time limit ends a read only if nothing has arrived: the process may not have run
+// when it did.
+type requestReader struct{ conn *conn }
+
+// lateReadTime is how long reads may go on after the time for them is over, if something has arrived.
+const lateReadTime = 100 * time.Millisecond
+
+// Read implements [io.Reader].
+func (r requestReader) Read(b []byte) (int, error) {
+	for {
+		n, err := r.conn.netConn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !r.conn.extendRead() {
+			return n, err
+		}
+	}
+}
+
+// extendRead lets the read of a request go on after its time limit, if something has arrived. It returns false if the
+// read is to end, because of that limit or to end the connection.
+func (c *conn) extendRead() bool {
+	if !c.HasUnreadData() {
+		return false
+	}
+	extended := false
+	c.server.connections.Arm(c.entry, func(action connections.Action) {
+		state := c.entry.State()
+		isReading := state == connections.New || state == connections.Reading || state == connections.Idle
+		if extended = isReading && action == connections.None; extended {
+			_ = c.netConn.SetReadDeadline(time.Now().Add(lateReadTime))
+		}
+	})
+	return extended
+}
+
 // maxKeptBuffer is the size, in bytes, up to which the buffer of a response is kept for the next one.
 const maxKeptBuffer = 4 << 10
 
@@ -106,6 +140,9 @@
 			return false
 		}
 	}
+	if c.firstRequestDeadline.Before(time.Now()) {
+		c.firstRequestDeadline = time.Time{} // the bytes came before the time was over, and were read after it
+	}
 	c.arrived, c.nextArrived = c.nextArrived, time.Time{}
 	if c.arrived.IsZero() {
 		c.arrived = pauseclock.ArrivalTime(c.netConn)
@@ -120,13 +157,6 @@
 		return os.ErrDeadlineExceeded
 	}
 	c.setReadTimeout(c.server.options.IdleTimeout)
-	err := c.reader.Await()
-	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.HasUnreadData() {
-		return err
-	}
-	// The bytes came before the time was over, and the process did not run: the next read has a time of its own.
-	c.firstRequestDeadline = time.Time{}
-	c.setReadTimeout(c.server.options.IdleTimeout)
 	return c.reader.Await()
 }
 
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -89,7 +89,8 @@
 }
 
 func (s *Server) newConn(nc net.Conn) *conn {
-	c := &conn{server: s, netConn: nc, reader: http1.NewReader(nc, s.options.Limits), finalResponses: make(chan node.FinalResponse, 1)}
+	c := &conn{server: s, netConn: nc, finalResponses: make(chan node.FinalResponse, 1)}
+	c.reader = http1.NewReader(requestReader{c}, s.options.Limits)
 	c.memory = connMemory{freeBytes: s.options.FreeBytesOfRequest, sentAhead: s.options.Memory.NewAccount(0, nil)}
 	c.reader.LimitMemory(&c.memory)
 	return c
