policy/connections: a request that crosses the limit of idle connections is read

Cause: a connection that was to end because too many are idle, and on which a request arrives just then, was to be rejected like one that makes room for another, and the reason had no status of its own.

Change: such a connection is kept, as it is not idle any more. Whatever ends a connection in the middle of a request gives 503, and 408 is left to a time that is over.

TestRequestThatCrossesTheIdleLimitIsRead. TestRequestsAreAnsweredWhenConnectionsRunOut has clients that keep their connections now, each answer checked, and TestClientsCannotExhaustMemory checks each answer also beside bad clients that come again, where it had allowed new connections to be shut unread.

--- a/cmd/yardcleat/client_memory_test.go
+++ b/cmd/yardcleat/client_memory_test.go
@@ -65,7 +65,7 @@
 	name       string
 	text       func(number int) string // what each of the clients sends
 	usualAlone bool                    // none of these requests reaches a server, so usual clients' requests are all served
-	again      bool                    // each comes again as soon as its connection is closed; new connections may be shut unread then
+	again      bool                    // each comes again as soon as its connection is closed
 	stay       time.Duration           // how long each of them stays
 }
 
@@ -197,7 +197,7 @@
 		t.Error("no usual client was served")
 	}
 	for result, count := range results {
-		if !c.again && !c.isAllowed(result) {
+		if !c.isAllowed(result) {
 			t.Errorf("usual clients: %d responses: %+v", count, result)
 		}
 	}
--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -21,8 +21,9 @@
 const placesSlots = 2
 
 const (
-	freshInterval = 10 * time.Millisecond   // between two requests on new connections
-	freshTimeout  = 1900 * time.Millisecond // how long their clients wait
+	firstFreshNumber = 1 << 20                 // of a request; clients that keep their connections use those below
+	freshInterval    = 10 * time.Millisecond   // between two requests on new connections
+	freshTimeout     = 1900 * time.Millisecond // how long their clients wait
 )
 
 // badGroup is clients that send the same, read what they are sent, and come again on a new connection as soon as the
@@ -174,7 +175,9 @@
 		}
 	}
 	bad.Go(func() { c.stopProcess(node, until) })
+	resting := startUsualLoad(node)
 	results := playFreshClients(node, until)
+	checkResting(t, resting.stop())
 	bad.Wait()
 	close(stop)
 	c.check(t, node, <-peaks, results)
@@ -224,7 +227,7 @@
 	begun := time.Now()
 	ticker := time.NewTicker(freshInterval)
 	defer ticker.Stop()
-	for number := uint64(readinessNumber + 1); time.Now().Before(until); number++ {
+	for number := uint64(firstFreshNumber); time.Now().Before(until); number++ {
 		<-ticker.C
 		clients.Go(func() {
 			result := sendFresh(node, node.requestID(number), begun)
@@ -254,6 +257,22 @@
 	return result
 }
 
+// checkResting checks that each request of clients that keep their connections got an answer.
+func checkResting(t *testing.T, results map[usualResult]int) {
+	t.Helper()
+	t.Logf("clients that keep their connections: %v", results)
+	for result, count := range results {
+		if !isAnswer(result.status) {
+			t.Errorf("%d requests on connections that are kept: %+v", count, result)
+		}
+	}
+}
+
+// isAnswer reports whether a status is that of a request that was served or rejected.
+func isAnswer(status int) bool {
+	return slices.Contains([]int{http.StatusOK, http.StatusTooManyRequests, http.StatusServiceUnavailable}, status)
+}
+
 // check checks that each usual request got an answer and that the node kept its limits.
 func (c placesCase) check(t *testing.T, node *nodeProcess, peak peakUse, results []freshResult) {
 	counts := map[int]int{}
@@ -262,7 +281,7 @@
 	for _, r := range results {
 		counts[r.status]++
 		slowest = max(slowest, r.took)
-		if !slices.Contains([]int{http.StatusOK, http.StatusTooManyRequests, http.StatusServiceUnavailable}, r.status) || r.err != nil {
+		if !isAnswer(r.status) || r.err != nil {
 			lost = append(lost, fmt.Sprintf("%s, sent %v: status %d after %v, %v", r.id, r.sentAt.Round(time.Millisecond), r.status, r.took.Round(time.Millisecond), r.err))
 		}
 	}
--- a/front/http1/request.go
+++ b/front/http1/request.go
@@ -100,8 +100,10 @@
 // the client has sent ahead are owed a response, until the last moment.
 func (c *conn) isClosing() bool {
 	phase := c.server.connections.Phase()
-	sentAhead := c.reader.Buffered() > 0 || c.HasUnreadData()
-	return phase >= connections.Draining && !sentAhead || phase >= connections.Aborting && c.reader.Buffered() == 0
+	if phase < connections.Draining || c.reader.Buffered() > 0 {
+		return false
+	}
+	return phase >= connections.Aborting || !c.HasUnreadData()
 }
 
 // isTooFarAhead reports whether the client has sent so much ahead that it can't be noticed if it disconnects. Its
@@ -193,10 +195,10 @@
 	case errors.Is(err, memory.ErrNoRoom) || endReason == connections.Memory:
 		c.server.logShortage()
 		return http.StatusServiceUnavailable, node.ReasonOverload
-	case errors.Is(err, os.ErrDeadlineExceeded) && endReason == connections.OpenLimit:
-		return http.StatusServiceUnavailable, node.ReasonOverload
-	case errors.Is(err, os.ErrDeadlineExceeded) && c.server.connections.Phase() >= connections.Stopped:
+	case errors.Is(err, os.ErrDeadlineExceeded) && (endReason == connections.Shutdown || c.server.connections.Phase() >= connections.Stopped):
 		return http.StatusServiceUnavailable, node.ReasonDraining
+	case errors.Is(err, os.ErrDeadlineExceeded) && endReason != connections.NoReason:
+		return http.StatusServiceUnavailable, node.ReasonOverload
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, node.ReasonBadRequest
 	}
--- a/internal/pauseclock/network.go
+++ b/internal/pauseclock/network.go
@@ -75,7 +75,7 @@
 }
 
 // BacklogLength returns how many connections wait to be accepted from a watched listener. The second result is false if
-// that can't be determined.
+// that can't be determined, or if none seems to wait.
 func BacklogLength(l net.Listener) (length int, isKnown bool) {
 	w, ok := l.(*watchedListener)
 	if !ok {
--- a/internal/pauseclock/tcp_linux.go
+++ b/internal/pauseclock/tcp_linux.go
@@ -73,7 +73,8 @@
 	return err == nil && n > 0
 }
 
-// backlogLength returns the length of a listener's queue of connections, which the kernel reports in TCP_INFO.
+// backlogLength returns the length of a listener's queue of connections, which the kernel reports in TCP_INFO. A length
+// of 0 is not known to be right: a system may report nothing there.
 func backlogLength(l net.Listener) (length int, isKnown bool) {
 	tcpListener, ok := l.(*net.TCPListener)
 	if !ok {
@@ -89,7 +90,7 @@
 			length = int(info.Unacked) // of a listener: those that wait to be accepted
 		}
 	})
-	return length, isKnown && err == nil
+	return length, isKnown && err == nil && length > 0
 }
 
 // newConnReader returns a reader that enables the kernel's timestamps of TCP segments
--- a/internal/pauseclock/tcp_linux_test.go
+++ b/internal/pauseclock/tcp_linux_test.go
@@ -153,7 +153,7 @@
 	}
 	defer func() { _ = listener.Close() }()
 	for waiting := range dialed + 1 {
-		if n, isKnown := BacklogLength(listener); n != waiting || !isKnown || HasBacklog(listener) != (waiting > 0) {
+		if n, isKnown := BacklogLength(listener); n != waiting || isKnown != (waiting > 0) || HasBacklog(listener) != (waiting > 0) {
 			t.Errorf("%d connections wait, known %v, any %v; want %d", n, isKnown, HasBacklog(listener), waiting)
 		}
 		conn, err := net.Dial("tcp", listener.Addr().String())
--- a/policy/connections/table.go
+++ b/policy/connections/table.go
@@ -116,14 +116,18 @@
 // SetOwner passes a connection to another owner.
 func (t *Table) SetOwner(c *Connection, owner Owner) { c.owner = owner }
 
-// BeginReading records that a request has begun to arrive. A connection that was to end without a response, because it
-// was idle, is to be rejected now unless the request turns out to be complete.
+// BeginReading records that a request has begun to arrive. A connection that was to end without a response is to be
+// rejected now, unless the request turns out to be complete. One that was to end because too many are idle is kept.
 func (t *Table) BeginReading(c *Connection, now time.Time) {
 	if c.state == Idle {
 		t.enqueue(c, &t.awaiting, now)
 	}
 	c.state = Reading
-	if c.action == End {
+	switch {
+	case c.action == End && c.reason == IdleLimit:
+		t.clearAction(c)
+		t.enqueue(c, &t.awaiting, now)
+	case c.action == End:
 		c.action = Reject
 	}
 	if t.phase >= Aborting {
--- a/policy/connections/table_test.go
+++ b/policy/connections/table_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// Guards against a request that is rejected in the middle because its connection was to end, as too many were idle.
+func TestRequestThatCrossesTheIdleLimitIsRead(t *testing.T) {
+	table := NewTable(Limits{MaxOpen: 10, MaxIdle: 1})
+	first := openIdle(t, table, "first", start)
+	second, _ := table.Accept(start, &fakeOwner{name: "second"})
+	table.Complete(second)
+	_, instructions := table.AwaitRequest(second, start)
+	mustEnd(t, instructions, first, End, IdleLimit)
+	table.BeginReading(first, start)
+	if action, _ := first.Action(); action != None || table.ending != 0 {
+		t.Errorf("%v while a request is read, %d connections ending", action, table.ending)
+	}
+	mustEnd(t, table.FreeDescriptor(start.Add(time.Minute)), first, Reject, OpenLimit)
+}
+
 // Requests beyond those that may be in flight are rejected, and do not count.
 func TestRequestsInFlightAreLimited(t *testing.T) {
 	table := NewTable(Limits{MaxOpen: 10, MaxInFlight: 1})
