front/http2: a connection that ends before its preface has come is told by GOAWAY

What callers would see: the first request of an HTTP/2 connection that crossed its end, for another connection or at the end of the time for the preface, got neither a response nor a GOAWAY, so that its client could not tell whether it ran. A connection that said nothing made room for another only after 0.2 s.

Cause: the server's SETTINGS, and with them GOAWAY, waited for the client's preface.

Change: when the time for the preface is over the server sends SETTINGS and GOAWAY all the same, and lingers. For another connection that time is over at once; in a shutdown it stays 0.2 s.

--- a/front/http2/drain.go
+++ b/front/http2/drain.go
@@ -19,7 +19,7 @@
 	maxLingerBytes = 1 << 20
 )
 
-// drainPrefaceTimeout is how long a draining connection waits for the client preface. GOAWAY can't be sent before it.
+// drainPrefaceTimeout is how long a draining connection waits for the client preface before it sends GOAWAY.
 const drainPrefaceTimeout = 200 * time.Millisecond
 
 // goAwayText is the debug data of the GOAWAY of a connection that ends because the server shuts down, or for another.
@@ -39,15 +39,15 @@
 func (s *Server) Drain(ctx context.Context) { s.connections.Drain(ctx) }
 
 // sendGoAway sends GOAWAY with the ID of the last accepted stream, unless that was done before. Before the
-// server's SETTINGS are sent it leaves that to handshake. If the code is ErrCodeNo the connection ends once it has no
-// streams.
-func (c *conn) sendGoAway(code http2.ErrCode, debugData string) {
+// server's SETTINGS are sent it leaves that to handshake, which waits for the client preface for prefaceTimeout at most.
+// If the code is ErrCodeNo the connection ends once it has no streams.
+func (c *conn) sendGoAway(code http2.ErrCode, debugData string, prefaceTimeout time.Duration) {
 	c.mu.Lock()
 	first := !c.goingAway
 	c.goingAway, c.ended = true, c.ended || code != http2.ErrCodeNo
 	settingsSent := c.settingsSent
 	if !settingsSent {
-		c.netConn.SetReadDeadline(time.Now().Add(drainPrefaceTimeout))
+		c.netConn.SetReadDeadline(time.Now().Add(prefaceTimeout))
 	}
 	c.mu.Unlock()
 	if settingsSent && first {
--- a/front/http2/limit_test.go
+++ b/front/http2/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -48,3 +49,41 @@
 	defer cancel()
 	s.Drain(ctx)
 }
+
+// Guards against a first request that gets neither a response nor a GOAWAY, because its connection was ended before it had
+// come: for another connection, or as its time was over.
+func TestFirstRequestThatCrossesTheEndIsToldByGoAway(t *testing.T) {
+	for name, end := range map[string]func(*testing.T, *testServer){
+		"for another": func(t *testing.T, s *testServer) {
+			t.Helper()
+			other, server := net.Pipe()
+			c := s.newConn(server)
+			c.entry = s.connections.Accept(c)
+			t.Cleanup(func() { _, _ = other.Close(), server.Close() })
+		},
+		"timeout": func(t *testing.T, _ *testServer) { t.Helper() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startTestServer(t, func(o *Options) {
+				o.Connections = connlimit.New(connections.Limits{MaxOpen: 2, MaxActive: 1, MinIdleTime: time.Nanosecond}, o.Log)
+				if name == "timeout" {
+					o.HeaderTimeout = 20 * time.Millisecond
+				}
+			})
+			end(t, s)
+			var goAway *http2.GoAwayFrame
+			var err error
+			for err == nil {
+				var f http2.Frame
+				if f, err = s.framer.ReadFrame(); err == nil && f.Header().Type == http2.FrameGoAway {
+					goAway = f.(*http2.GoAwayFrame)
+					s.send([]byte(http2.ClientPreface))
+					s.send(requestFrames(1, false))
+				}
+			}
+			if goAway == nil || goAway.ErrCode != http2.ErrCodeNo || goAway.LastStreamID != 0 || err != io.EOF {
+				t.Errorf("GOAWAY %+v; the connection ended with %v", goAway, err)
+			}
+		})
+	}
+}
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -146,7 +146,11 @@
 func (c *conn) Interrupt(action connections.Action) {
 	switch action {
 	case connections.Finish, connections.End, connections.Reject:
-		go c.sendGoAway(http2.ErrCodeNo, goAwayText)
+		prefaceTimeout := drainPrefaceTimeout
+		if _, reason := c.entry.Action(); reason == connections.OpenLimit {
+			prefaceTimeout = 0
+		}
+		go c.sendGoAway(http2.ErrCodeNo, goAwayText, prefaceTimeout)
 	case connections.Close:
 		_ = c.netConn.SetReadDeadline(longAgo)
 	case connections.None, connections.Cut: // streams give up their memory themselves
@@ -200,9 +204,9 @@
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
 	case isFatal:
-		c.sendGoAway(http2.ErrCode(connectionError), "")
+		c.sendGoAway(http2.ErrCode(connectionError), "", drainPrefaceTimeout)
 	case timedOut: // the requests in flight get their responses
-		c.sendGoAway(http2.ErrCodeNo, goAwayText)
+		c.sendGoAway(http2.ErrCodeNo, goAwayText, drainPrefaceTimeout)
 	}
 	c.mu.Lock()
 	if !timedOut {
@@ -230,15 +234,17 @@
 // errNoPreface is the error of a connection that does not begin with the client preface.
 var errNoPreface = errors.New("http2: no client preface")
 
-// handshake reads the client preface and sends the server's SETTINGS. If the connection is going away by then it
-// sends GOAWAY, too.
+// handshake reads the client preface and sends the server's SETTINGS. If the connection is going away by then, or the
+// preface does not come in time, it sends GOAWAY, too.
 func (c *conn) handshake() error {
 	c.setPrefaceDeadline()
 	preface := make([]byte, len(http2.ClientPreface))
-	if _, err := io.ReadFull(c.netConn, preface); err != nil {
+	switch _, err := io.ReadFull(c.netConn, preface); {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.markGoingAway() // GOAWAY tells the client that none of its requests ran
+	case err != nil:
 		return err
-	}
-	if string(preface) != http2.ClientPreface {
+	case string(preface) != http2.ClientPreface:
 		return errNoPreface
 	}
 	o := &c.server.options
@@ -267,6 +273,13 @@
 	return nil
 }
 
+// markGoingAway records that no streams are accepted any more.
+func (c *conn) markGoingAway() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.goingAway = true
+}
+
 // setPrefaceDeadline sets the time until which the client preface must be read.
 func (c *conn) setPrefaceDeadline() {
 	c.mu.Lock()
