--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 var placesTime = flag.Duration("places-time", 3*time.Second, "how long bad clients and usual ones use a node in each case")
@@ -50,6 +52,8 @@
 	bad       []badGroup
 	stopEvery time.Duration // the process is stopped for stopFor as often; 0: never
 	stopFor   time.Duration
+
+	descriptors uint64 // that the process may have, though the node is told more; 0: as many as the test
 }
 
 func unsoundRequest(n int) string {
@@ -138,6 +142,7 @@
 		stopEvery: 400 * time.Millisecond, stopFor: 150 * time.Millisecond},
 	{name: "one client with ever new customers", sockets: 256, bad: []badGroup{{clients: 1, play: playNewCustomers}}},
 	{name: "clients with ever new customers", sockets: 256, bad: []badGroup{{clients: 20, play: playNewCustomers}}},
+	{name: "silent clients, and no descriptors left", sockets: 256, bad: []badGroup{sends(150, nothing), sends(20, unsoundRequest)}, descriptors: 100},
 	{name: "slow writers", sockets: 1024, bad: []badGroup{{clients: 500, play: playSlowWriter}}},
 }
 
@@ -160,6 +165,12 @@
 		server.latency = 20 * time.Millisecond
 	}
 	node := startEdgeNode(t, resources{memoryMB: 48, sockets: c.sockets}, servers, serveHTTP(t, servers))
+	if c.descriptors > 0 {
+		limit := unix.Rlimit{Cur: c.descriptors, Max: c.descriptors}
+		if err := unix.Prlimit(node.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
 	peaks := make(chan peakUse, 1)
 	stop := make(chan struct{})
 	go func() { peaks <- watchUse(node, stop) }()
