front/connlimit: while descriptors are lacking accepting goes on as soon as one is free

Cause: each error of accept cost a fixed 10 ms, whatever got free meanwhile, and any error ended a connection, not only a lack of descriptors.

Change: after EMFILE, ENFILE, ENOBUFS or ENOMEM a connection is ended and accepting is tried again when one is closed, after 10 ms at the latest; other errors end none.

TestAcceptErrorsArePassing has five errors, three in a row each.

--- a/edgenode/drain.go
+++ b/edgenode/drain.go
@@ -75,9 +75,7 @@
 func (e *Edge) closeListener() {
 	switch {
 	case e.front != nil:
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		e.logCloseError(e.front.StopServing(ctx, e.listener))
+		e.logCloseError(e.front.CloseListener(e.listener))
 	case e.listener != nil:
 		e.logCloseError(e.listener.Close())
 	}
--- a/front/connlimit/limiter.go
+++ b/front/connlimit/limiter.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/pauseclock"
@@ -71,7 +72,6 @@
 			return nil
 		default:
 			l.handleAcceptError(err)
-			time.Sleep(acceptRetryDelay)
 		}
 	}
 	return nil
@@ -99,13 +99,12 @@
 		pauseclock.SuspendAccepting(listener)
 		pauseclock.SuspendReading(accepted)
 		l.carryOut(l.table.MakeRoom(time.Now()))
-		recheck := time.AfterFunc(recheckInterval, l.changed.Broadcast)
-		l.changed.Wait()
-		recheck.Stop()
+		l.awaitChange(recheckInterval)
 	}
 }
 
-// handleAcceptError logs an error of accepting, and frees a descriptor: the process or the system may have none left.
+// handleAcceptError logs an error of accepting, and frees a descriptor if the process or the system has none left. It
+// returns when it is time to try again: a connection is closed, or acceptRetryDelay has passed.
 func (l *Limiter) handleAcceptError(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -113,7 +112,25 @@
 	if l.report.mayLog(time.Now()) {
 		l.log.Warn("accept failed", "error", err)
 	}
-	l.carryOut(l.table.FreeDescriptor(time.Now()))
+	open := l.table.Open()
+	for begun := time.Now(); l.table.Open() >= open && time.Since(begun) < acceptRetryDelay && !l.ended; {
+		if isShortage(err) {
+			l.carryOut(l.table.FreeDescriptor(time.Now()))
+		}
+		l.awaitChange(acceptRetryDelay)
+	}
+}
+
+// isShortage reports whether an error says that the process or the system has no descriptor, or no memory for one.
+func isShortage(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// awaitChange waits until something has happened to a connection, or for a time. The lock must be held.
+func (l *Limiter) awaitChange(timeout time.Duration) {
+	timer := time.AfterFunc(timeout, l.changed.Broadcast)
+	l.changed.Wait()
+	timer.Stop()
 }
 
 // The backlog of a listener that is to be closed is looked at with an interval. If its length is not known, it is looked
@@ -124,8 +141,7 @@
 )
 
 // StopServing closes a listener, once the connections that have reached it by now are accepted, or when the context ends:
-// the kernel resets those that it still holds, and their requests with them. Serve returns, also if there is no
-// room for a connection.
+// the kernel resets those that it still holds, and their requests with them.
 func (l *Limiter) StopServing(ctx context.Context, listener net.Listener) error {
 	waiting, isKnown := pauseclock.BacklogLength(listener)
 	last := l.acceptedConnections() + waiting + 1 // one more may be accepted and not counted yet
@@ -135,6 +151,11 @@
 		}
 		time.Sleep(backlogInterval)
 	}
+	return l.CloseListener(listener)
+}
+
+// CloseListener closes a listener at once. Serve returns, also if there is no room for a connection.
+func (l *Limiter) CloseListener(listener net.Listener) error {
 	err := listener.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/front/connlimit/limiter_test.go
+++ b/front/connlimit/limiter_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -159,3 +161,68 @@
 		t.Errorf("%d connections of %d were accepted", n, before)
 	}
 }
+
+// failingListener is a listener whose next accepts fail with an error.
+type failingListener struct {
+	net.Listener
+	err      error
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: l.err}
+	}
+	return l.Listener.Accept()
+}
+
+// recordingOwner is the owner of a connection that says what is to be done with it.
+type recordingOwner struct {
+	heldConn
+	actions chan connections.Action
+}
+
+func (o recordingOwner) Interrupt(action connections.Action) { o.actions <- action }
+
+// Guards against a listener that waits while it could accept, or ends connections for nothing, because accept fails for a
+// moment: a lack of descriptors ends a connection without a request, other errors none.
+func TestAcceptErrorsArePassing(t *testing.T) {
+	for err, action := range map[error]connections.Action{
+		syscall.EMFILE: connections.Reject, syscall.ENFILE: connections.Reject, syscall.ENOBUFS: connections.Reject,
+		syscall.ECONNABORTED: connections.None, syscall.EPERM: connections.None,
+	} {
+		l, listenErr := net.Listen("tcp", "127.0.0.1:0")
+		if listenErr != nil {
+			t.Fatal(listenErr)
+		}
+		limiter := New(connections.Limits{MaxOpen: 10}, slog.New(slog.DiscardHandler))
+		silent, other := net.Pipe()
+		owner := recordingOwner{heldConn{silent}, make(chan connections.Action, 10)}
+		entry := limiter.Accept(owner)
+		failing := &failingListener{Listener: l, err: err}
+		failing.failures.Store(3)
+		accepted, ended := make(chan struct{}), make(chan error, 1)
+		go func() {
+			ended <- limiter.Serve(failing, func(nc net.Conn) {
+				_ = nc.Close()
+				close(accepted)
+			})
+		}()
+		nc, dialErr := net.Dial("tcp", l.Addr().String())
+		if dialErr != nil {
+			t.Fatal(dialErr)
+		}
+		<-accepted
+		got, _ := limiter.Action(entry)
+		if n := limiter.Counts().AcceptErrors; got != action || n != 3 {
+			t.Errorf("%v: %v of a silent connection, %d errors counted; want %v and 3", err, got, n, action)
+		}
+		if err := limiter.StopServing(context.Background(), l); err != nil {
+			t.Error(err)
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		_, _, _ = nc.Close(), silent.Close(), other.Close()
+	}
+}
--- a/front/http1/server.go
+++ b/front/http1/server.go
@@ -100,6 +100,9 @@
 // New connections are still accepted, for one request each.
 func (s *Server) StartDraining() { s.connections.Advance(connections.Draining) }
 
+// CloseListener closes the listener at once. Serve returns.
+func (s *Server) CloseListener(l net.Listener) error { return s.connections.CloseListener(l) }
+
 // StopServing closes the listener once the connections that have reached it are accepted, or when the context ends. Serve
 // returns.
 func (s *Server) StopServing(ctx context.Context, l net.Listener) error {
