--- a/front/extauthz/server.go
+++ b/front/extauthz/server.go
@@ -98,6 +98,9 @@
 	return err
 }
 
+// CloseListener closes the listener at once. Serve returns.
+func (s *Server) CloseListener(l net.Listener) error { return l.Close() }
+
 // StopServing closes the listener. Serve returns.
 func (s *Server) StopServing(_ context.Context, l net.Listener) error { return l.Close() }
 
--- a/front/http2/drain.go
+++ b/front/http2/drain.go
@@ -28,6 +28,9 @@
 // longAgo is the deadline that ends what a connection waits for.
 var longAgo = time.Unix(1, 0)
 
+// CloseListener closes the listener at once. Serve returns.
+func (s *Server) CloseListener(l net.Listener) error { return s.connections.CloseListener(l) }
+
 // StopServing closes the listener once the connections that have reached it are accepted, or when the context ends. Serve
 // returns.
 func (s *Server) StopServing(ctx context.Context, l net.Listener) error {
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -43,6 +43,8 @@
 type frontend interface {
 	// Serve accepts connections until the listener is closed, and then returns nil.
 	Serve(net.Listener) error
+	// CloseListener closes the listener at once, so that Serve returns.
+	CloseListener(net.Listener) error
 	// StopServing closes the listener, at the latest when the context ends, so that Serve returns.
 	StopServing(context.Context, net.Listener) error
 	// Drain returns when all connections are closed, at the latest when the context ends.
@@ -182,10 +184,8 @@
 
 // closeListeners closes the listeners at once. A second call does nothing.
 func (g *Gateway) closeListeners() {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
 	for _, l := range g.listeners {
-		l.logCloseError(l.frontend.StopServing(ctx, l.net), g.options.Log)
+		l.logCloseError(l.frontend.CloseListener(l.net), g.options.Log)
 	}
 }
 
--- a/gateway/tls.go
+++ b/gateway/tls.go
@@ -179,6 +179,9 @@
 	}
 }
 
+// CloseListener closes the listener at once. Serve returns.
+func (t *tlsListener) CloseListener(l net.Listener) error { return t.limiter.CloseListener(l) }
+
 // StopServing closes the listener once the connections that have reached it are accepted, or when the context ends. Serve
 // returns.
 func (t *tlsListener) StopServing(ctx context.Context, l net.Listener) error {
