--- a/internal/network/memory.go
+++ b/internal/network/memory.go
@@ -139,7 +139,7 @@
 			c.Reset()
 			continue
 		}
-		c.Close()
+		_ = c.Close() // a listener or a socket in memory: can't fail
 	}
 }
 
