policy/connections: unread responses make room; requests sent ahead are not idle

What callers would see: clients that don't read their responses hold their places for up to 3 s (1 s where a request was rejected), and if they hold all, new requests wait that long.

Change: if nothing else makes room, the response that its client takes longest to read, for at least a second, is cut, as it is for memory. A connection with requests sent ahead goes from one to the next without being idle in between, and does not have another ended for the limit of idle ones. Connections are kept in the order in which they came, so that equal events give equal instructions.

It is a case of TestRequestsAreAnsweredWhenConnectionsRunOut. TestUnreadResponsesMakeRoom.

--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// playNonReader sends requests for long responses and reads none of them, and comes again after a while.
+func playNonReader(ctx context.Context, node *nodeProcess, number int) {
+	const requests, stay = 20, 1500 * time.Millisecond
+	for ctx.Err() == nil {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", node.address)
+		if err != nil {
+			continue
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10) // so that what the client does not read stays with the node
+		var text strings.Builder
+		for i := range requests {
+			text.WriteString(requestForLongResponse(number*requests + i))
+		}
+		_ = conn.SetDeadline(time.Now().Add(stay))
+		_, _ = io.WriteString(conn, text.String()) // the node may end the connection before
+		select {
+		case <-ctx.Done():
+		case <-time.After(stay):
+		}
+		_ = conn.Close()
+	}
+}
+
 var placesCases = []placesCase{
 	{name: "unsound requests", sockets: 256, bad: []badGroup{sends(100, unsoundRequest)}},
 	{name: "unsound requests and half headers", sockets: 256, bad: []badGroup{sends(60, unsoundRequest), sends(60, halfHeader)}},
@@ -143,6 +166,7 @@
 	{name: "one client with ever new customers", sockets: 256, bad: []badGroup{{clients: 1, play: playNewCustomers}}},
 	{name: "clients with ever new customers", sockets: 256, bad: []badGroup{{clients: 20, play: playNewCustomers}}},
 	{name: "silent clients, and no descriptors left", sockets: 256, bad: []badGroup{sends(150, nothing), sends(20, unsoundRequest)}, descriptors: 100},
+	{name: "clients that don't read", sockets: 256, bad: []badGroup{{clients: 300, play: playNonReader}}},
 	{name: "slow writers", sockets: 1024, bad: []badGroup{{clients: 500, play: playSlowWriter}}},
 }
 
@@ -159,10 +183,20 @@
 	}
 }
 
+// respondWithLongBody responds to requests for long responses.
+func respondWithLongBody(w http.ResponseWriter, r *http.Request, _ string) bool {
+	if r.Header.Get("X-Long") == "" {
+		return false
+	}
+	_, _ = io.WriteString(w, strings.Repeat("x", longResponseSize)) // the node may have closed the connection
+	return true
+}
+
 func (c placesCase) run(t *testing.T) {
 	servers := newServerGroup(t, serverCount)
 	for _, server := range servers.servers {
 		server.latency = 20 * time.Millisecond
+		server.respond = respondWithLongBody
 	}
 	node := startEdgeNode(t, resources{memoryMB: 48, sockets: c.sockets}, servers, serveHTTP(t, servers))
 	if c.descriptors > 0 {
--- a/front/connlimit/limiter.go
+++ b/front/connlimit/limiter.go
@@ -211,6 +211,13 @@
 	return admitted
 }
 
+// BeginWriting records that the response to the request in flight is written from now on.
+func (l *Limiter) BeginWriting(c *connections.Connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.BeginWriting(c, time.Now())
+}
+
 // Linger records that this side sends no more on a connection.
 func (l *Limiter) Linger(c *connections.Connection) {
 	l.mu.Lock()
--- a/front/connlimit/report.go
+++ b/front/connlimit/report.go
@@ -34,7 +34,7 @@
 
 	intervalStart time.Time
 	lines         int // that were logged since intervalStart
-	unlogged      int // connections that were ended since intervalStart with no line
+	unlogged      int // connections that were ended with no line, and not logged together yet
 }
 
 func newReport() report { return report{ended: map[Cause]int{}} }
@@ -42,7 +42,7 @@
 // mayLog reports whether another line may be logged, and counts it.
 func (r *report) mayLog(now time.Time) bool {
 	if now.Sub(r.intervalStart) >= reportInterval {
-		r.intervalStart, r.lines, r.unlogged = now, 0, 0
+		r.intervalStart, r.lines = now, 0
 	}
 	if r.lines >= maxReportLines {
 		return false
--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -133,8 +133,8 @@
 
 // awaitRequest waits for the first bytes of the next request. It returns false if the connection is to be closed.
 func (c *conn) awaitRequest() bool {
-	keep := c.server.connections.AwaitRequest(c.entry)
 	if c.reader.Buffered() == 0 {
+		keep := c.server.connections.AwaitRequest(c.entry)
 		if err := c.awaitBytes(keep); err != nil {
 			c.endWait(err)
 			return false
@@ -193,6 +193,7 @@
 
 // writeResponse writes the parts of a final response within a time limit. It returns false on failure.
 func (c *conn) writeResponse(timeout time.Duration, parts ...[]byte) bool {
+	c.server.connections.BeginWriting(c.entry)
 	for _, part := range parts {
 		c.memory.beginWriting(len(part))
 	}
--- a/policy/connections/eviction.go
+++ b/policy/connections/eviction.go
@@ -11,6 +11,9 @@
 	// returns to one sends its request on another connection.
 	earlyEvictionDivisor = 8
 
+	// minWritingTime is how long a client may take to read a response. Clients may read slowly.
+	minWritingTime = time.Second
+
 	// maxScanned is the number of connections of a queue that are checked for one without unread data.
 	maxScanned = 16
 
@@ -42,7 +45,23 @@
 	if instructions := t.evict(now, nil); instructions != nil {
 		return instructions
 	}
-	return t.evictFirst(nil, []candidates{{&t.awaiting, now}, {&t.idle, now}})
+	if instructions := t.evictFirst(nil, []candidates{{&t.awaiting, now}, {&t.idle, now}}); instructions != nil {
+		return instructions
+	}
+	return t.cutUnread(now)
+}
+
+// cutUnread cuts the response that its client takes longest to read, if that is at least minWritingTime.
+func (t *Table) cutUnread(now time.Time) []Instruction {
+	front := t.writing.Front()
+	if front == nil {
+		return nil
+	}
+	c := front.Value.(*Connection)
+	if now.Sub(c.since) < minWritingTime {
+		return nil
+	}
+	return t.instruct(nil, c, Cut, OpenLimit)
 }
 
 // longestLingering returns the connection that has lingered for longest, if possible one without unread data: closing
--- a/policy/connections/eviction_test.go
+++ b/policy/connections/eviction_test.go
@@ -137,3 +137,20 @@
 		t.Errorf("%d connections idle, %d ending, want 2 and 2", table.idle.Len(), table.ending)
 	}
 }
+
+// Guards against clients that don't read their responses and so hold all connections: if nothing else makes room, the
+// response that takes longest is cut.
+func TestUnreadResponsesMakeRoom(t *testing.T) {
+	table := NewTable(Limits{MaxOpen: 3, MinIdleTime: 2 * time.Second})
+	all := map[string]*Connection{}
+	for i, name := range []string{"in flight", "writing", "writing later"} {
+		c, _ := table.Accept(at(0), &fakeOwner{name: name, unread: true})
+		table.Complete(c)
+		if i > 0 {
+			table.BeginWriting(c, at(i))
+		}
+		all[name] = c
+	}
+	mustEnd(t, table.MakeRoom(at(1000)), nil, None, NoReason)
+	mustEnd(t, table.MakeRoom(at(1001)), all["writing"], Cut, OpenLimit)
+}
--- a/policy/connections/table.go
+++ b/policy/connections/table.go
@@ -34,11 +34,12 @@
 type Connection struct {
 	owner      Owner
 	state      State
-	since      time.Time // since when it has waited for a request, been idle or lingered
-	hadRequest bool      // a complete request was read
-	admitted   bool      // the request in flight counts towards MaxInFlight
-	action     Action    // what is to be done with it and is not done yet
-	reason     Reason    // of the action
+	since      time.Time     // since when it has waited for a request, been idle, written a response or lingered
+	hadRequest bool          // a complete request was read
+	admitted   bool          // the request in flight counts towards MaxInFlight
+	position   *list.Element // among all connections
+	action     Action        // what is to be done with it and is not done yet
+	reason     Reason        // of the action
 	queue      *list.List
 	element    *list.Element
 }
@@ -49,7 +50,7 @@
 // State returns the state of a connection.
 func (c *Connection) State() State { return c.state }
 
-// Since returns since when a connection has waited for a request, been idle, or lingered.
+// Since returns since when a connection has waited for a request, been idle, written a response, or lingered.
 func (c *Connection) Since() time.Time { return c.since }
 
 // HadRequest reports whether a complete request was read from a connection.
@@ -69,45 +70,44 @@
 type Table struct {
 	limits    Limits
 	phase     Phase
-	all       map[*Connection]bool
+	all       list.List // in the order in which they were accepted
 	inFlight  int       // requests that were admitted
 	ending    int       // connections that are to end and do not linger yet
 	lingers   int       // connections that linger
 	closing   int       // of them, those that are to be closed
 	awaiting  list.List // connections without a complete request since they were accepted, or since the next began; oldest first
 	idle      list.List // longest idle first
+	writing   list.List // connections with a response that is being written, the one that takes longest first
 	lingering list.List // longest lingering first
 }
 
 // NewTable returns a table without connections.
 func NewTable(l Limits) *Table {
-	return &Table{limits: l.withDefaults(), all: map[*Connection]bool{}}
+	return &Table{limits: l.withDefaults()}
 }
 
 // Open returns the number of connections.
-func (t *Table) Open() int { return len(t.all) }
+func (t *Table) Open() int { return t.all.Len() }
 
 // CountByState returns the number of connections in each state.
 func (t *Table) CountByState() map[State]int {
 	counts := map[State]int{}
-	for c := range t.all {
-		counts[c.state]++
-	}
+	t.ForEach(func(c *Connection) { counts[c.state]++ })
 	return counts
 }
 
 // HasRoom reports whether another connection may be accepted.
-func (t *Table) HasRoom() bool { return len(t.all) < t.limits.MaxOpen }
+func (t *Table) HasRoom() bool { return t.Open() < t.limits.MaxOpen }
 
 // Accept adds a connection. The instructions end connections so that there is room for the next one.
 func (t *Table) Accept(now time.Time, owner Owner) (*Connection, []Instruction) {
 	c := &Connection{owner: owner, state: New}
-	t.all[c] = true
+	c.position = t.all.PushBack(c)
 	t.enqueue(c, &t.awaiting, now)
 	if t.phase >= Stopped {
 		return c, t.instruct(nil, c, Reject, Shutdown)
 	}
-	if len(t.all)-t.lingers-t.ending > t.limits.MaxActive {
+	if t.Open()-t.lingers-t.ending > t.limits.MaxActive {
 		return c, t.evict(now, c)
 	}
 	return c, nil
@@ -119,8 +119,14 @@
 // BeginReading records that a request has begun to arrive. A connection that was to end without a response is to be
 // rejected now, unless the request turns out to be complete. One that was to end because too many are idle is kept.
 func (t *Table) BeginReading(c *Connection, now time.Time) {
-	if c.state == Idle {
+	switch c.state {
+	case InFlight:
+		t.release(c)
+		t.clearAction(c)
+		t.enqueue(c, &t.awaiting, now)
+	case Idle:
 		t.enqueue(c, &t.awaiting, now)
+	default: // it waits already
 	}
 	c.state = Reading
 	switch {
@@ -149,6 +155,13 @@
 	return c.admitted
 }
 
+// BeginWriting records that the response to the request in flight is written from now on.
+func (t *Table) BeginWriting(c *Connection, now time.Time) {
+	if c.state == InFlight {
+		t.enqueue(c, &t.writing, now)
+	}
+}
+
 // AwaitRequest records that all requests of a connection are answered, or that it waits for its first. The result is
 // false if the connection is to end, unless more has arrived on it.
 func (t *Table) AwaitRequest(c *Connection, now time.Time) (keep bool, instructions []Instruction) {
@@ -185,7 +198,7 @@
 		t.lingers--
 	}
 	c.state = Closed
-	delete(t.all, c)
+	t.all.Remove(c.position)
 }
 
 // Reclaim returns what makes room for the memory of others: a request that is not complete is rejected, a response
@@ -206,9 +219,9 @@
 // Advance begins a phase of the shutdown.
 func (t *Table) Advance(phase Phase) (instructions []Instruction) {
 	t.phase = max(t.phase, phase)
-	for c := range t.all {
+	t.ForEach(func(c *Connection) {
 		instructions = t.instruct(instructions, c, t.actionOfPhase(c), Shutdown)
-	}
+	})
 	return instructions
 }
 
@@ -285,9 +298,9 @@
 	c.queue, c.element = nil, nil
 }
 
-// ForEach calls f for each connection.
+// ForEach calls f for each connection. f must not accept or remove one.
 func (t *Table) ForEach(f func(*Connection)) {
-	for c := range t.all {
-		f(c)
+	for element := t.all.Front(); element != nil; element = element.Next() {
+		f(element.Value.(*Connection))
 	}
 }
--- a/policy/connections/table_test.go
+++ b/policy/connections/table_test.go
@@ -180,8 +180,8 @@
 	}
 	i := rapid.IntRange(0, len(m.all)-1).Draw(m.T, "connection")
 	c := m.all[i]
-	switch operation := rapid.IntRange(0, 6).Draw(m.T, "operation"); {
-	case operation == 0 && (c.state == New || c.state == Idle):
+	switch operation := rapid.IntRange(0, 7).Draw(m.T, "operation"); {
+	case operation == 0 && (c.state == New || c.state == Idle || c.state == InFlight):
 		m.table.BeginReading(c, m.now)
 	case operation == 1 && c.state == Reading:
 		m.table.Complete(c)
@@ -197,6 +197,8 @@
 		return m.table.Reclaim(c)
 	case operation == 6 && !m.table.HasRoom():
 		return m.makeRoom()
+	case operation == 7:
+		m.table.BeginWriting(c, m.now)
 	}
 	return nil
 }
