upstream: a dial outlives a moment without descriptors, ports or a route

What callers would see: while the process or the system had no descriptor, port or memory for a moment, each attempt without a kept connection failed at once, and its server counted as one that can't be reached; with several such failures the node took all servers for dead.

Cause: every error of a dial was an error of the server.

Change: after EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL or ENETUNREACH the dial is tried again every 5 ms until its time is over. If it fails then, all but ENETUNREACH give NoConnection, which blames no server and is answered by 503.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -233,6 +233,8 @@
 	switch {
 	case errors.Is(err, errNoConnection):
 		return resultNoConnection
+	case isShortage(err):
+		return node.Result{Code: policy.NoConnection, Detail: err.Error()}
 	case t.sendTimeOver():
 		return resultSentTooLate
 	}
@@ -276,7 +278,7 @@
 	if !t.pool.reserveConnection() {
 		return nil, true, errNoConnection
 	}
-	netConn, err := t.pool.options.Network.Dial(ctx, t.Address)
+	netConn, err := t.pool.dial(ctx, t.Address)
 	if err != nil {
 		t.pool.releaseConnection()
 		return nil, true, err
--- a/upstream/http2.go
+++ b/upstream/http2.go
@@ -108,7 +108,7 @@
 		}
 	}
 	p.mu.Unlock()
-	netConn, err := p.options.Network.Dial(ctx, t.Address)
+	netConn, err := p.dial(ctx, t.Address)
 	if err != nil {
 		return nil, nil, err
 	}
