internal/pauseclock: a moment without memory ends no connection

What callers would see: a request that is not read, or a response that is cut, and the end of the connection, because recvmsg(2) or send(2) returned ENOMEM or ENOBUFS once.

Cause: any error but a timeout counted as the client's end.

It costs the usual call nothing but the look at its error.

--- a/internal/pauseclock/clock_test.go
+++ b/internal/pauseclock/clock_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,3 +230,51 @@
 		}
 	})
 }
+
+// passingErrorConn is a connection whose first reads and writes fail for want of memory; a write is short besides.
+type passingErrorConn struct {
+	net.Conn
+	readErrors, writeErrors int
+	written                 []byte
+}
+
+func (c *passingErrorConn) Read(b []byte) (int, error) {
+	if c.readErrors > 0 {
+		c.readErrors--
+		return 0, &net.OpError{Op: "read", Err: syscall.ENOMEM}
+	}
+	return copy(b, "read"), nil
+}
+
+func (c *passingErrorConn) Write(b []byte) (int, error) {
+	if c.writeErrors > 0 {
+		c.writeErrors--
+		c.written = append(c.written, b[0])
+		return 1, &net.OpError{Op: "write", Err: syscall.ENOBUFS}
+	}
+	c.written = append(c.written, b...)
+	return len(b), nil
+}
+
+// Guards against a connection that counts as ended, and a request or response that is lost, because the system has no memory
+// for its bytes for a moment.
+func TestPassingErrorsEndNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := New(time.Now(), network.NewMemory(time.Millisecond, 1).Host("node"), pause.DefaultSettings())
+		defer clock.Close()
+		inner := &passingErrorConn{readErrors: 3, writeErrors: 3}
+		conn := clock.watchConn(inner, 0)
+		buffer := make([]byte, 10)
+		if n, err := conn.Read(buffer); err != nil || string(buffer[:n]) != "read" {
+			t.Errorf("read %q, %v", buffer[:n], err)
+		}
+		if n, err := conn.Write([]byte("written")); err != nil || n != len("written") || string(inner.written) != "written" {
+			t.Errorf("%d bytes: %q, %v", n, inner.written, err)
+		}
+		inner.writeErrors = 1 << 20
+		begun := time.Now()
+		if _, err := conn.Write(make([]byte, 1<<20)); !errors.Is(err, syscall.ENOBUFS) || time.Since(begun) > time.Second {
+			t.Errorf("a lasting error: %v after %v", err, time.Since(begun))
+		}
+	})
+}
--- a/internal/pauseclock/conn.go
+++ b/internal/pauseclock/conn.go
@@ -135,6 +135,12 @@
 	c.socket.reading.Store(true)
 	defer c.socket.reading.Store(false)
 	result, err := c.reader.read(b, c.socket.markEmpty)
+	if isPassing(err) {
+		err = repeatPassing(func() (err error) {
+			result, err = c.reader.read(b, c.socket.markEmpty)
+			return err
+		})
+	}
 	now := c.socket.clock.Now()
 	if result.n > 0 {
 		c.socket.markRead(now, result)
@@ -144,6 +150,19 @@
 	return result.n, err
 }
 
+// Write writes to the connection. It goes on after errors that pass, behind what was written.
+func (c *watchedConn) Write(b []byte) (written int, err error) {
+	written, err = c.Conn.Write(b)
+	if isPassing(err) {
+		err = repeatPassing(func() error {
+			n, err := c.Conn.Write(b[written:])
+			written += n
+			return err
+		})
+	}
+	return written, err
+}
+
 // Readable reports whether the connection holds unread bytes or is at its end.
 func (c *watchedConn) Readable() bool { return c.socket.readable() }
 
