front: timeouts and malformed requests are counted among the ends of connections

The counters told which connections were ended for others, for memory or a shutdown, but not those that ended as their time was over or as their client violated the protocol, so that an operator could not add them up.

Both are counted now by action and reason, over HTTP/1.1 and HTTP/2, and logged at DEBUG with the client's address; rejections have their `answer` line (INFO) besides. A step that stood twice in a test of internal/pauseclock is one function.

--- a/front/connlimit/report.go
+++ b/front/connlimit/report.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// RecordEnd counts and logs that the owner of a connection ends it by itself. It does nothing if the limiter has it
+// ended: that was counted.
+func (l *Limiter) RecordEnd(c *connections.Connection, action connections.Action, reason connections.Reason) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if pending, _ := c.Action(); pending != connections.None {
+		return
+	}
+	l.report.ended[Cause{action, reason}]++
+	l.log.Debug("ending a client's connection", "client", c.Owner().(Owner).RemoteAddr().String(), "state", c.State().String(),
+		"action", action.String(), "reason", reason.String())
+}
+
 // logUnlogged logs how many connections were ended with no line of their own.
 func (l *Limiter) logUnlogged() {
 	l.mu.Lock()
--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -168,6 +168,8 @@
 		c.disconnected = true
 	case !c.entry.HadRequest():
 		c.reject(nil, err)
+	case c.server.connections.Phase() < connections.Draining:
+		c.server.connections.RecordEnd(c.entry, connections.End, connections.Timeout)
 	}
 }
 
--- a/front/http1/crossing_test.go
+++ b/front/http1/crossing_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"yardcleat.example/yardcleat/front/connlimit"
 	"yardcleat.example/yardcleat/internal/http1"
+	"yardcleat.example/yardcleat/policy/connections"
 )
 
 // afterReadConn is a gated connection whose reads also wait after they have returned bytes.
@@ -100,3 +102,28 @@
 		})
 	}
 }
+
+// The counters tell why a connection has ended, also where its time was over or its client violated the protocol.
+func TestEndsAreCounted(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Options)
+		sent   string
+		cause  connlimit.Cause
+	}{
+		"first request too late": {func(o *Options) { o.FirstRequestTimeout = time.Nanosecond }, "", connlimit.Cause{Action: connections.Reject, Reason: connections.Timeout}},
+		"malformed":              {func(*Options) {}, "no request\r\n", connlimit.Cause{Action: connections.Reject, Reason: connections.Malformed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withConnection(t, c.change, func(s *fixture) {
+				s.send(c.sent)
+				s.removeGate()
+				if _, err := s.reader.Response("GET"); err != nil {
+					t.Fatal(err)
+				}
+				if ended := s.server.connections.Counts().Ended; len(ended) != 1 || ended[c.cause] != 1 {
+					t.Errorf("ended: %v, want one by %v", ended, c.cause)
+				}
+			})
+		})
+	}
+}
--- a/front/http1/request.go
+++ b/front/http1/request.go
@@ -172,6 +172,7 @@
 	}
 	c.server.options.Log.Info("answer", "answer", node.Rejected.String(), "reason", string(reason), "detail", err.Error(),
 		"client", c.netConn.RemoteAddr().String())
+	c.server.connections.RecordEnd(c.entry, connections.Reject, endReasonOf(status, reason))
 	response := c.server.options.Mapper.Render(nil, node.FinalResponse{Kind: node.Rejected, Reason: reason, Detail: err.Error()})
 	method := ""
 	if head != nil {
@@ -182,6 +183,20 @@
 	return false
 }
 
+// endReasonOf returns why a connection ends after the rejection of a request.
+func endReasonOf(status int, reason node.Reason) connections.Reason {
+	switch {
+	case reason == node.ReasonDraining:
+		return connections.Shutdown
+	case reason == node.ReasonOverload:
+		return connections.Memory
+	case status == http.StatusRequestTimeout:
+		return connections.Timeout
+	default:
+		return connections.Malformed
+	}
+}
+
 // rejection returns the status and the reason for a request that could not be read. The status is 0 if the connection
 // has ended, in the middle of the request or before its first byte.
 func (c *conn) rejection(err error) (status int, reason node.Reason) {
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -204,8 +204,12 @@
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
 	case isFatal:
+		c.server.connections.RecordEnd(c.entry, connections.End, connections.Malformed)
 		c.sendGoAway(http2.ErrCode(connectionError), "", drainPrefaceTimeout)
 	case timedOut: // the requests in flight get their responses
+		if !c.isGoingAway() {
+			c.server.connections.RecordEnd(c.entry, connections.End, connections.Timeout)
+		}
 		c.sendGoAway(http2.ErrCodeNo, goAwayText, drainPrefaceTimeout)
 	}
 	c.mu.Lock()
@@ -273,6 +277,13 @@
 	return nil
 }
 
+// isGoingAway reports whether no streams are accepted any more.
+func (c *conn) isGoingAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.goingAway
+}
+
 // markGoingAway records that no streams are accepted any more.
 func (c *conn) markGoingAway() {
 	c.mu.Lock()
--- a/internal/pauseclock/clock_test.go
+++ b/internal/pauseclock/clock_test.go
@@ -194,19 +194,19 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = listener.Close() }()
-		dial := func() {
+		dialAndPause := func() {
 			peer, err := memory.Host("peer").Dial(context.Background(), "10.0.0.1:80")
 			if err != nil {
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = peer.Close() })
+			time.Sleep(10 * time.Millisecond)
+			host.Pause()
+			time.Sleep(time.Second)
+			host.Resume()
+			clock.Now()
 		}
-		dial()
-		time.Sleep(10 * time.Millisecond)
-		host.Pause()
-		time.Sleep(time.Second)
-		host.Resume()
-		clock.Now()
+		dialAndPause()
 		if n := clock.UnreadSockets(); n != 1 {
 			t.Errorf("%d unread sockets, want the listener", n)
 		}
@@ -219,12 +219,7 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = accepted.Close() }()
-		dial()
-		time.Sleep(10 * time.Millisecond)
-		host.Pause()
-		time.Sleep(time.Second)
-		host.Resume()
-		clock.Now()
+		dialAndPause()
 		if n := clock.UnreadSockets(); n != 1 {
 			t.Errorf("%d unread sockets, want the listener again", n)
 		}
--- a/policy/connections/state.go
+++ b/policy/connections/state.go
@@ -61,15 +61,19 @@
 	IdleLimit        // too many connections are idle
 	Memory           // its memory is wanted for another
 	Shutdown         // the listener shuts down
+	Timeout          // the time of its request, or between two requests, was over
+	Malformed        // its client violated the protocol
 	numReasons
 )
 
-var reasonNames = [numReasons]string{"none", "open limit", "idle limit", "memory", "shutdown"}
+var reasonNames = [numReasons]string{"none", "open limit", "idle limit", "memory", "shutdown", "timeout", "malformed"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
 // Reasons returns all reasons for which a connection is ended.
-func Reasons() []Reason { return []Reason{OpenLimit, IdleLimit, Memory, Shutdown} }
+func Reasons() []Reason {
+	return []Reason{OpenLimit, IdleLimit, Memory, Shutdown, Timeout, Malformed}
+}
 
 // Phase is how far a listener has shut down.
 type Phase int
