front/http1: requests sent ahead get no more of the processor than others

Cause: requests behind more than is read ahead are rejected one after another without waiting for anything, so that a connection kept its thread until the scheduler took it away after 10 ms; the event loop and each new connection had a turn once in two seconds.

Change: a connection lets others run before each request that is read already.

--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -17,11 +19,18 @@
 	"golang.org/x/sys/unix"
 )
 
-var placesTime = flag.Duration("places-time", 3*time.Second, "how long bad clients and usual ones use a node in each case")
+var (
+	placesTime  = flag.Duration("places-time", 3*time.Second, "how long bad clients and usual ones use a node in each case")
+	placesSeeds = flag.Int("places-seeds", 6, "number of drawn cases")
+	placesFirst = flag.Uint64("places-first", 1, "seed of the first drawn case")
+)
 
 // placesSlots is the number of nodes that run at a time.
 const placesSlots = 2
 
+// placesMemoryMB is the memory of the nodes.
+const placesMemoryMB = 48
+
 const (
 	firstFreshNumber = 1 << 20                 // of a request; clients that keep their connections use those below
 	freshInterval    = 10 * time.Millisecond   // between two requests on new connections
@@ -49,6 +58,7 @@
 type placesCase struct {
 	name      string
 	sockets   int
+	memoryMB  int // 0: placesMemoryMB
 	bad       []badGroup
 	stopEvery time.Duration // the process is stopped for stopFor as often; 0: never
 	stopFor   time.Duration
@@ -183,6 +193,51 @@
 	}
 }
 
+// drawPlacesCase generates the case of a seed: descriptors, memory, stops of the process, and one to three groups of bad
+// clients.
+func drawPlacesCase(seed uint64) placesCase {
+	random := rand.New(rand.NewPCG(seed, 11))
+	c := placesCase{
+		sockets:  []int{64, 128, 256, 544, 1024}[random.IntN(5)],
+		memoryMB: []int{32, 48, 64}[random.IntN(3)],
+	}
+	if random.IntN(2) == 0 {
+		c.stopFor = time.Duration(10+random.IntN(140)) * time.Millisecond
+		c.stopEvery = c.stopFor + time.Duration(20+random.IntN(380))*time.Millisecond
+	}
+	plays := []func(context.Context, *nodeProcess, int){playNewCustomers, playSlowWriter, playNonReader}
+	for range 1 + random.IntN(3) {
+		group := badGroup{clients: 1 + random.IntN(300)}
+		kind := random.IntN(len(badTexts) + len(plays))
+		if kind < len(badTexts) {
+			group.text = badTexts[kind]
+		} else {
+			group.play = plays[kind-len(badTexts)]
+		}
+		c.bad = append(c.bad, group)
+		c.name += fmt.Sprintf("%d clients of kind %d; ", group.clients, kind)
+	}
+	c.name += fmt.Sprintf("%d descriptors, %d MB, stopped for %v every %v", c.sockets, c.memoryMB, c.stopFor, c.stopEvery)
+	return c
+}
+
+// Drawn crowds of bad clients, beside drawn descriptors, memory and stops of the process: usual requests are answered, and the
+// node keeps its limits.
+func TestRequestsAreAnsweredBesideDrawnCrowds(t *testing.T) {
+	slots := make(chan struct{}, placesSlots)
+	for i := range *placesSeeds {
+		seed := *placesFirst + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			c := drawPlacesCase(seed)
+			t.Log(c.name)
+			c.run(t)
+		})
+	}
+}
+
 // respondWithLongBody responds to requests for long responses.
 func respondWithLongBody(w http.ResponseWriter, r *http.Request, _ string) bool {
 	if r.Header.Get("X-Long") == "" {
@@ -198,7 +253,8 @@
 		server.latency = 20 * time.Millisecond
 		server.respond = respondWithLongBody
 	}
-	node := startEdgeNode(t, resources{memoryMB: 48, sockets: c.sockets}, servers, serveHTTP(t, servers))
+	c.memoryMB = cmp.Or(c.memoryMB, placesMemoryMB)
+	node := startEdgeNode(t, resources{memoryMB: c.memoryMB, sockets: c.sockets}, servers, serveHTTP(t, servers))
 	if c.descriptors > 0 {
 		limit := unix.Rlimit{Cur: c.descriptors, Max: c.descriptors}
 		if err := unix.Prlimit(node.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
@@ -338,8 +394,8 @@
 	if counts[http.StatusOK] == 0 {
 		t.Error("no request was served")
 	}
-	if peak.memoryKB == 0 || peak.memoryKB > 48<<10 || peak.descriptors > c.sockets {
-		t.Errorf("peak %+v, limits %d KiB and %d descriptors", peak, 48<<10, c.sockets)
+	if peak.memoryKB == 0 || peak.memoryKB > c.memoryMB<<10 || peak.descriptors > c.sockets {
+		t.Errorf("peak %+v, limits %d KiB and %d descriptors", peak, c.memoryMB<<10, c.sockets)
 	}
 	if node.hasExited() {
 		t.Errorf("the node exited: %v: %s", node.err, node.log)
--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/http1"
@@ -133,12 +134,11 @@
 
 // awaitRequest waits for the first bytes of the next request. It returns false if the connection is to be closed.
 func (c *conn) awaitRequest() bool {
-	if c.reader.Buffered() == 0 {
-		keep := c.server.connections.AwaitRequest(c.entry)
-		if err := c.awaitBytes(keep); err != nil {
-			c.endWait(err)
-			return false
-		}
+	if c.reader.Buffered() > 0 {
+		runtime.Gosched() // requests sent ahead must not have more of the processor than those on other connections
+	} else if err := c.awaitBytes(c.server.connections.AwaitRequest(c.entry)); err != nil {
+		c.endWait(err)
+		return false
 	}
 	if c.firstRequestDeadline.Before(time.Now()) {
 		c.firstRequestDeadline = time.Time{} // the bytes came before the time was over, and were read after it
