policy/connections: a connection with requests sent ahead makes room

Cause: a connection with one request behind another is never idle and always has unread bytes, so that it kept its place until its 300 requests were answered, while usual connections waited with the kernel.

Change: if nothing else makes room, the connection that has had requests sent ahead for longest, a quarter of a second at least, is shed: the request in flight gets its response, those that are read already get 503 without waiting for their turn, and the connection closes between two requests. What is not read by then its client sends once more, as the protocol has it.

--- a/front/connlimit/limiter.go
+++ b/front/connlimit/limiter.go
@@ -248,6 +248,14 @@
 	return c.Action()
 }
 
+// Status returns the phase of the shutdown, and what is to be done with a connection.
+func (l *Limiter) Status(c *connections.Connection) (connections.Phase, connections.Action) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	action, _ := c.Action()
+	return l.table.Phase(), action
+}
+
 // Arm calls set with what is to be done with a connection. No interruption comes between, so that one is not undone by
 // a time limit that set sets.
 func (l *Limiter) Arm(c *connections.Connection, set func(connections.Action)) {
--- a/front/http1/conn.go
+++ b/front/http1/conn.go
@@ -38,6 +38,10 @@
 		_ = c.netConn.SetReadDeadline(longAgo)
 	case connections.Cut:
 		_ = c.netConn.SetWriteDeadline(longAgo)
+	case connections.Shed:
+		if c.entry.State() == connections.Reading {
+			_ = c.netConn.SetReadDeadline(longAgo)
+		}
 	case connections.None, connections.Finish: // the phase of the shutdown is looked at after the response
 	}
 }
@@ -135,7 +139,7 @@
 // awaitRequest waits for the first bytes of the next request. It returns false if the connection is to be closed.
 func (c *conn) awaitRequest() bool {
 	if c.reader.Buffered() > 0 {
-		runtime.Gosched() // requests sent ahead must not have more of the processor than those on other connections
+		c.yield()
 	} else if err := c.awaitBytes(c.server.connections.AwaitRequest(c.entry)); err != nil {
 		c.endWait(err)
 		return false
@@ -151,6 +155,14 @@
 	return true
 }
 
+// yield lets others run before a request that was sent ahead: such requests must not have more of the processor than
+// those on other connections. A connection that is to end does not wait, since others wait for its end.
+func (c *conn) yield() {
+	if action, _ := c.server.connections.Action(c.entry); action == connections.None {
+		runtime.Gosched()
+	}
+}
+
 // awaitBytes waits until bytes arrive. If the connection is not to be kept it reads only what has arrived already.
 func (c *conn) awaitBytes(keep bool) error {
 	if !keep && !c.HasUnreadData() {
--- a/front/http1/request.go
+++ b/front/http1/request.go
@@ -96,14 +96,15 @@
 	return c.writeResponse(timeout, c.buf) && !closing
 }
 
-// isClosing reports whether the connection is closed after the response because the server shuts down. Requests that
-// the client has sent ahead are owed a response, until the last moment.
+// isClosing reports whether the connection is closed after the response because the server shuts down, or for another.
+// Requests that are read already are owed a response, and in a shutdown all that the client has sent ahead, until the
+// last moment.
 func (c *conn) isClosing() bool {
-	phase := c.server.connections.Phase()
-	if phase < connections.Draining || c.reader.Buffered() > 0 {
+	phase, action := c.server.connections.Status(c.entry)
+	if c.reader.Buffered() > 0 {
 		return false
 	}
-	return phase >= connections.Aborting || !c.HasUnreadData()
+	return action == connections.Shed || phase >= connections.Aborting || phase >= connections.Draining && !c.HasUnreadData()
 }
 
 // isTooFarAhead reports whether the client has sent so much ahead that it can't be noticed if it disconnects. Its
--- a/front/http2/server.go
+++ b/front/http2/server.go
@@ -153,7 +153,7 @@
 		go c.sendGoAway(http2.ErrCodeNo, goAwayText, prefaceTimeout)
 	case connections.Close:
 		_ = c.netConn.SetReadDeadline(longAgo)
-	case connections.None, connections.Cut: // streams give up their memory themselves
+	case connections.None, connections.Cut, connections.Shed: // streams give up their memory themselves
 	}
 }
 
--- a/policy/connections/eviction.go
+++ b/policy/connections/eviction.go
@@ -48,9 +48,27 @@
 	if instructions := t.evictFirst(nil, []candidates{{&t.awaiting, now}, {&t.idle, now}}); instructions != nil {
 		return instructions
 	}
+	if instructions := t.shedAhead(now); instructions != nil {
+		return instructions
+	}
 	return t.cutUnread(now)
 }
 
+// shedAhead ends the connection that has had requests sent ahead for longest, if that is long enough: with one request
+// behind another it would keep its place as long as its client likes. What is not read yet its client sends once more.
+func (t *Table) shedAhead(now time.Time) []Instruction {
+	for element := t.ahead.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*Connection)
+		if now.Sub(c.aheadSince) < t.limits.MinIdleTime/earlyEvictionDivisor {
+			return nil
+		}
+		if c.action == None {
+			return t.instruct(nil, c, Shed, OpenLimit)
+		}
+	}
+	return nil
+}
+
 // cutUnread cuts the response that its client takes longest to read, if that is at least minWritingTime.
 func (t *Table) cutUnread(now time.Time) []Instruction {
 	front := t.writing.Front()
--- a/policy/connections/eviction_test.go
+++ b/policy/connections/eviction_test.go
@@ -154,3 +154,29 @@
 	mustEnd(t, table.MakeRoom(at(1000)), nil, None, NoReason)
 	mustEnd(t, table.MakeRoom(at(1001)), all["writing"], Cut, OpenLimit)
 }
+
+// Guards against clients that send one request behind another and so hold all connections: the one that has done so for
+// longest gets rejections for what is read already, and ends.
+func TestRequestsSentAheadMakeRoom(t *testing.T) {
+	table := NewTable(Limits{MaxOpen: 2, MinIdleTime: 2 * time.Second})
+	busy, _ := table.Accept(at(0), &fakeOwner{name: "busy", unread: true})
+	ahead, _ := table.Accept(at(0), &fakeOwner{name: "ahead", unread: true})
+	table.Complete(busy)
+	table.Complete(ahead)
+	table.BeginReading(ahead, at(10))
+	table.Complete(ahead)
+	mustEnd(t, table.MakeRoom(at(259)), nil, None, NoReason)
+	mustEnd(t, table.MakeRoom(at(260)), ahead, Shed, OpenLimit)
+	mustEnd(t, table.MakeRoom(at(261)), nil, None, NoReason)
+	table.BeginReading(ahead, at(270))
+	if table.Complete(ahead) {
+		t.Error("a request that was sent ahead is admitted on a connection that is to end")
+	}
+	if keep, _ := table.AwaitRequest(ahead, at(280)); keep {
+		t.Error("the connection is kept")
+	}
+	table.Remove(ahead)
+	if table.ending != 0 || table.ahead.Len() != 0 {
+		t.Errorf("%d connections ending, %d with requests sent ahead", table.ending, table.ahead.Len())
+	}
+}
--- a/policy/connections/state.go
+++ b/policy/connections/state.go
@@ -41,15 +41,16 @@
 	Reject        // write a rejection and end it
 	Cut           // end it in the middle of the response that its client does not read
 	Close         // close it at once: it lingers
+	Shed          // reject the requests on it that are read already, and end it
 	numActions
 )
 
-var actionNames = [numActions]string{"none", "finish", "end", "reject", "cut", "close"}
+var actionNames = [numActions]string{"none", "finish", "end", "reject", "cut", "close", "shed"}
 
 func (a Action) String() string { return actionNames[a] }
 
 // EndingActions returns the actions that end a connection at once.
-func EndingActions() []Action { return []Action{End, Reject, Cut, Close} }
+func EndingActions() []Action { return []Action{End, Reject, Cut, Close, Shed} }
 
 // Reason is why a connection is ended.
 type Reason int
--- a/policy/connections/table.go
+++ b/policy/connections/table.go
@@ -40,6 +40,8 @@
 	position   *list.Element // among all connections
 	action     Action        // what is to be done with it and is not done yet
 	reason     Reason        // of the action
+	ahead      *list.Element // its place among the connections with requests sent ahead, or nil
+	aheadSince time.Time     // since when it is there
 	queue      *list.List
 	element    *list.Element
 }
@@ -79,6 +81,7 @@
 	idle      list.List // longest idle first
 	writing   list.List // connections with a response that is being written, the one that takes longest first
 	lingering list.List // longest lingering first
+	ahead     list.List // connections that have not been idle between two requests, the one that has not for longest first
 }
 
 // NewTable returns a table without connections.
@@ -120,9 +123,12 @@
 // rejected now, unless the request turns out to be complete. One that was to end because too many are idle is kept.
 func (t *Table) BeginReading(c *Connection, now time.Time) {
 	switch c.state {
-	case InFlight:
+	case InFlight: // the request was sent ahead
 		t.release(c)
-		t.clearAction(c)
+		if c.action == Cut {
+			t.clearAction(c)
+		}
+		t.markAhead(c, now)
 		t.enqueue(c, &t.awaiting, now)
 	case Idle:
 		t.enqueue(c, &t.awaiting, now)
@@ -145,10 +151,12 @@
 // result is false if the request is to be rejected: there are too many, or the shutdown is about to end.
 func (t *Table) Complete(c *Connection) (admitted bool) {
 	t.dequeue(c)
-	t.clearAction(c)
+	if c.action != Shed {
+		t.clearAction(c)
+	}
 	c.state = InFlight
 	c.hadRequest = true
-	c.admitted = t.inFlight < t.limits.MaxInFlight && t.phase < Aborting
+	c.admitted = c.action == None && t.inFlight < t.limits.MaxInFlight && t.phase < Aborting
 	if c.admitted {
 		t.inFlight++
 	}
@@ -166,8 +174,11 @@
 // false if the connection is to end, unless more has arrived on it.
 func (t *Table) AwaitRequest(c *Connection, now time.Time) (keep bool, instructions []Instruction) {
 	t.release(c)
+	t.clearAhead(c)
 	if c.hadRequest {
-		t.clearAction(c)
+		if c.action != Shed {
+			t.clearAction(c)
+		}
 		c.state = Idle
 		t.enqueue(c, &t.idle, now)
 	}
@@ -183,6 +194,7 @@
 // Linger records that this side sends no more on a connection.
 func (t *Table) Linger(c *Connection, now time.Time) {
 	t.release(c)
+	t.clearAhead(c)
 	t.clearAction(c)
 	c.state = Lingering
 	t.lingers++
@@ -192,6 +204,7 @@
 // Remove records that a connection is closed.
 func (t *Table) Remove(c *Connection) {
 	t.release(c)
+	t.clearAhead(c)
 	t.clearAction(c)
 	t.dequeue(c)
 	if c.state == Lingering {
@@ -273,6 +286,22 @@
 	}
 }
 
+// markAhead records that a connection has not been idle between two requests.
+func (t *Table) markAhead(c *Connection, now time.Time) {
+	if c.ahead == nil {
+		c.aheadSince = now
+		c.ahead = t.ahead.PushBack(c)
+	}
+}
+
+// clearAhead records that a connection has no requests sent ahead.
+func (t *Table) clearAhead(c *Connection) {
+	if c.ahead != nil {
+		t.ahead.Remove(c.ahead)
+	}
+	c.ahead = nil
+}
+
 // release no longer counts the request of a connection.
 func (t *Table) release(c *Connection) {
 	if c.admitted {
