policy/connections: a connection that is used again and again makes room

Cause: such a connection is idle for less than the time that the node needs to look at it, and has unread bytes when it does, so that none made room.

Change: if nothing before makes room, the oldest connection that has been used more than once, and is open for a quarter of a second at least, ends after the response in flight, with `Connection: close`.

--- a/policy/connections/eviction.go
+++ b/policy/connections/eviction.go
@@ -51,6 +51,9 @@
 	if instructions := t.shedAhead(now); instructions != nil {
 		return instructions
 	}
+	if instructions := t.shedReused(now); instructions != nil {
+		return instructions
+	}
 	return t.cutUnread(now)
 }
 
@@ -69,6 +72,21 @@
 	return nil
 }
 
+// shedReused ends the connection that has been open for longest of those that clients use for one request after the
+// other, if that is long enough: they are never idle for long enough that another could take their place.
+func (t *Table) shedReused(now time.Time) []Instruction {
+	for element := t.all.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*Connection)
+		if now.Sub(c.acceptedAt) < t.limits.MinIdleTime/earlyEvictionDivisor {
+			return nil
+		}
+		if c.isReused && c.action == None && c.state != Lingering {
+			return t.instruct(nil, c, Shed, OpenLimit)
+		}
+	}
+	return nil
+}
+
 // cutUnread cuts the response that its client takes longest to read, if that is at least minWritingTime.
 func (t *Table) cutUnread(now time.Time) []Instruction {
 	front := t.writing.Front()
--- a/policy/connections/table.go
+++ b/policy/connections/table.go
@@ -34,8 +34,10 @@
 type Connection struct {
 	owner      Owner
 	state      State
-	since      time.Time     // since when it has waited for a request, been idle, written a response or lingered
-	hadRequest bool          // a complete request was read
+	since      time.Time // since when it has waited for a request, been idle, written a response or lingered
+	hadRequest bool      // a complete request was read
+	isReused   bool      // a further request has begun to arrive
+	acceptedAt time.Time
 	admitted   bool          // the request in flight counts towards MaxInFlight
 	position   *list.Element // among all connections
 	action     Action        // what is to be done with it and is not done yet
@@ -104,7 +106,7 @@
 
 // Accept adds a connection. The instructions end connections so that there is room for the next one.
 func (t *Table) Accept(now time.Time, owner Owner) (*Connection, []Instruction) {
-	c := &Connection{owner: owner, state: New}
+	c := &Connection{owner: owner, state: New, acceptedAt: now}
 	c.position = t.all.PushBack(c)
 	t.enqueue(c, &t.awaiting, now)
 	if t.phase >= Stopped {
@@ -122,6 +124,7 @@
 // BeginReading records that a request has begun to arrive. A connection that was to end without a response is to be
 // rejected now, unless the request turns out to be complete. One that was to end because too many are idle is kept.
 func (t *Table) BeginReading(c *Connection, now time.Time) {
+	c.isReused = c.hadRequest
 	switch c.state {
 	case InFlight: // the request was sent ahead
 		t.release(c)
