cmd/yardcleat: failing test of far more bad clients than places

Places get free, but more slowly than the bad clients queue before the usual ones with the kernel.

The check and the bound are those of the other cases.

--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -224,9 +224,23 @@
 // Drawn crowds of bad clients, beside drawn descriptors, memory and stops of the process: usual requests are answered, and the
 // node keeps its limits.
 func TestRequestsAreAnsweredBesideDrawnCrowds(t *testing.T) {
-	slots := make(chan struct{}, placesSlots)
+	var seeds []uint64
 	for i := range *placesSeeds {
-		seed := *placesFirst + uint64(i)
+		seeds = append(seeds, *placesFirst+uint64(i))
+	}
+	playDrawnCases(t, seeds)
+}
+
+// Several times more bad clients than places, while the process is stopped for a third of the time and more: usual requests wait with
+// the kernel behind the bad ones for longer than their clients do.
+func TestRequestsAreAnsweredBesideFarMoreClientsThanPlaces(t *testing.T) {
+	playDrawnCases(t, []uint64{530, 556})
+}
+
+func playDrawnCases(t *testing.T, seeds []uint64) {
+	t.Helper()
+	slots := make(chan struct{}, placesSlots)
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
