--- a/cmd/yardcleat/connection_places_test.go
+++ b/cmd/yardcleat/connection_places_test.go
@@ -231,7 +231,7 @@
 	playDrawnCases(t, seeds)
 }
 
-// Several times more bad clients than places, while the process is stopped for a third of the time and more: usual requests wait with
+// Several times more bad clients than places, while the process is stopped for more than a quarter of the time: usual requests wait with
 // the kernel behind the bad ones for longer than their clients do.
 func TestRequestsAreAnsweredBesideFarMoreClientsThanPlaces(t *testing.T) {
 	playDrawnCases(t, []uint64{530, 556})
--- a/policy/connections/state.go
+++ b/policy/connections/state.go
@@ -5,7 +5,7 @@
 // A connection ends without a response only between two requests, where clients send a request that crosses the end
 // once more on another connection. One that has brought no complete request yet, or is in the middle of one, is rejected:
 // its request may have arrived in full by then, and is owed a response. A connection with a complete request
-// is never ended before its response.
+// is not ended before its response, unless its client does not read that.
 package connections
 
 // State is the state of a connection.
